Let each of many gateways go above its part of the limit by what chance does

The median way to the first attempt was 110 ms, the 99th percentile 1.8 s.

Ruled out: new connections (fresh and used ones serve alike, a dial takes 1 ms), silent peers (under 10 of 80), servers turning work away (none).

Cause: `full` held each gateway's attempts to its part of a limit meant for all. 80 parts of two attempts queue at the busy gateways while others idle.

Now a part bounds the mean: a gateway may go above it by four deviations of chance. The share of that is derived from the number of gateways, and is nil where each one sees a good part of the requests, so small fleets are unchanged.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,6 +50,7 @@
 	minLimit      = 3.0   // and at least
 	lookLeast     = 2     // healthy servers looked at for a request, at least
 	lookAll       = 12    // gateways, up to which each looks at all servers
+	swing         = 4.0   // deviations of chance that many gateways may go above their part of the limit
 	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
 	utilS         = 3.0   // a load report counts for so long
 	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
@@ -95,6 +96,7 @@
 	g.boot = uint8(g.rng.Uint32())
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
+	g.swing = swing * max(0, 1-lookAll/float64(s.Gateways))
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
 	g.setUp(min(ringPoints, max(8, ringMost/s.Gateways)))
 	g.act.SetTimer(1, tickS)
@@ -738,8 +740,10 @@
 
 // full tells that as much is out as may be. A part of one that is free is rounded up while answers
 // are fast, and makes a pause while they are slow: many gateways that round up drive servers hard.
+// The limit is a part of what all may have out, so it bounds a gateway's mean. Of many gateways some are
+// always busy while others idle: each may go above its part by what chance does to few requests.
 func (g *Gateway) full(r *request) bool {
-	free := g.limit - float64(g.out)
+	free := g.limit + g.swing*math.Sqrt(g.limit) - float64(g.out)
 	part := free < 1 && g.stretch >= stretchHigh
 	return free <= 0 || part && g.now-g.sentAt < max(r.cls.lat, g.spent)/free
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -229,6 +229,7 @@
 	pending   []int       // peers with reports due
 	waiting   []*customer // with reports unanswered
 	limit     float64     // attempts out here, at all servers
+	swing     float64     // how far out may go above limit, in deviations
 	part      float64     // servers a gateway
 	out       int         // attempts out
 	stretch   float64     // mean of latency over aim
