Shun a server by the share of the fleet's attempts that it leaves unanswered

Counted by server and second over the fleet, a server got 10 to 20 attempts a second, then some timed out, then it got 1 to 4 for three to eight seconds, while the next one flooded.

Cause: `learn` raised sickness by 0.5 for one time-out, `spread` told all, and `choose` made a server 16 times as dear for it; all 80 gateways left at once and came back at once as it decayed. One gateway's good answer was told to nobody.

Now each gateway of many raises and lowers the shared figure by a part, and tells of both, so that it comes to the share of attempts without answer; its weight in the choice goes with its square, so that a small share costs little. The part is derived from the number of gateways; with few it is as before, but the square.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -173,3 +173,46 @@
 	}
 	t.Fatal("the owner is not asked three times")
 }
+
+// One missing answer, told to all, made the whole fleet leave a server for seconds and flood the next.
+func TestManyGatewaysLeaveAServerByTheShareItLeavesUnanswered(t *testing.T) {
+	g, _ := large(t)
+	cls, s := g.classes["read"], g.servers["s00"]
+	attempt := func(now float64, id string, st Status) {
+		req := &request{Request: Request{ID: id}, cls: cls}
+		g.reqs[id] = req
+		g.now = now
+		g.begin(req, s)
+		g.Outcome(now+0.1, Outcome{ID: id, Server: "s00", Status: st, Over: true, SpentS: 0.1})
+	}
+	attempt(100, "a", Timeout)
+	if x := g.sickness(s, cls); x <= 0 || x >= hedgeSick {
+		t.Fatalf("sickness is %.2f after one attempt without answer: all others would leave too", x)
+	}
+	for i := range 12 {
+		attempt(100.2+float64(i)*0.1, fmt.Sprint("b", i), Timeout)
+	}
+	high := g.sickness(s, cls)
+	if high < 0.8 {
+		t.Fatalf("sickness is %.2f after thirteen attempts without answer", high)
+	}
+	g.news = nil
+	attempt(101.5, "c", OK)
+	if x := g.sickness(s, cls); x >= high || x < hedgeSick {
+		t.Fatalf("one answer takes sickness from %.2f to %.2f, want a part of it off", high, x)
+	}
+	if len(g.news) != 1 || g.news[0].value >= high {
+		t.Fatalf("the others are not told that it serves again: %v", g.news)
+	}
+}
+
+// A few gateways see enough themselves: one answer shows that a server is well.
+func TestFewGatewaysTrustOneAnswer(t *testing.T) {
+	g, _ := gateway(t, nil)
+	cls, s := g.classes["read"], g.servers["s1"]
+	g.fails(s, cls, errorSick)
+	g.serves(s, cls)
+	if x := g.sickness(s, cls); x != 0 {
+		t.Fatalf("sickness is %.2f after an answer", x)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,6 +60,7 @@
 	sickTauS      = 4.0   // how long a sick server is shunned
 	sickWeight    = 30.0  // how far
 	errorSick     = 0.5   // how sick one error makes it
+	wordLeast     = 0.2   // what one of many gateways' attempts weighs in what all tell of a server
 	hedgeSick     = 0.3   // attempts at servers so sick are tried elsewhere early
 	hedgeX        = 4.0   // and others after so many mean latencies
 	newsKept      = 64    // what servers were last heard of doing, to be told to other gateways
@@ -96,6 +97,7 @@
 	g.boot = uint8(g.rng.Uint32())
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
+	g.word = max(wordLeast, min(1, lookAll/float64(s.Gateways)))
 	g.swing = swing * max(0, 1-lookAll/float64(s.Gateways))
 	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
 	g.setUp(min(ringPoints, max(8, ringMost/s.Gateways)))
@@ -858,7 +860,7 @@
 		if ill < hedgeSick {
 			look--
 		}
-		cost := load * s.speed * (1 + sickWeight*ill) * (1 + 0.02*g.rng.Float64())
+		cost := load * s.speed * (1 + sickWeight*ill*ill) * (1 + 0.02*g.rng.Float64())
 		if cost < low {
 			best, low = s, cost
 		}
@@ -877,6 +879,18 @@
 	}
 }
 
+// serves lowers the sickness of a server for a class. Where many gateways tell of it, each raises and
+// lowers it by a part, so that it comes to the share of their attempts that get no answer: were one answer
+// that is missing enough, all would leave an overloaded server at once, and overload the next.
+func (g *Gateway) serves(s *server, c *class) {
+	s.okAt[c.index], s.errs[c.index] = g.now, 0
+	x := g.sickness(s, c) * (1 - g.word)
+	s.sick[c.index] = sick{x, g.now}
+	if x > onceSick/2 {
+		g.spread(item{s.hash, c.index, x, g.now})
+	}
+}
+
 // told takes in what another gateway tells of a server, and tells it on while it is new.
 func (g *Gateway) told(n item) {
 	s := g.byHash[n.server]
@@ -905,13 +919,13 @@
 	slow := min(o.SpentS/c.lat, 4)
 	switch o.Status {
 	case OK:
-		s.okAt[c.index], s.sick[c.index], s.errs[c.index] = g.now, sick{}, 0
+		g.serves(s, c)
 		s.broken, s.fulls = 0, 0
 		c.n++
 		c.lat += (o.SpentS - c.lat) * max(0.02, 1/float64(c.n+1))
 		s.speed = max(s.speed+0.1*(slow-s.speed), 0.3)
 	case Timeout:
-		g.fails(s, c, errorSick)
+		g.fails(s, c, min(errorSick, g.word))
 		s.speed += timeoutWeight * max(4-s.speed, 0) // slow, if not silent
 	case Error:
 		s.errs[c.index]++
--- a/policy/state.go
+++ b/policy/state.go
@@ -232,6 +232,7 @@
 	waiting   []*customer // with reports unanswered
 	slotless  []*customer // with requests parked
 	limit     float64     // attempts out here, at all servers
+	word      float64     // weight of one attempt here in what all tell of a server
 	swing     float64     // how far out may go above limit, in deviations
 	part      float64     // servers a gateway
 	out       int         // attempts out
