Count a gateway's own attempts for a few others at most when it weighs servers

With 80 gateways one own attempt of late stood for 79 more at that server, which is noise: it only kept each from servers that it has connections to.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -844,7 +844,7 @@
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does.
-		load := float64(s.inflight) + 1 + float64(g.s.Gateways-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
+		load := float64(s.inflight) + 1 + float64(min(g.s.Gateways, lookAll)-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
 		if s.Zone != g.s.Zone {
 			load += crossWeight * g.s.CrossZonePrice
 		}
