--- a/policy/policy.go
+++ b/policy/policy.go
@@ -593,7 +593,8 @@
 // one of them ends: its units have room, and its aim lets it wait.
 func (g *Gateway) slotComes(r *request) bool {
 	c := r.cust
-	if c == nil || r.plan.Parallel == 0 || g.now+tickS > r.halfAt || g.now+tickS+r.cls.lat > r.aimAt || !g.mayRetry(r) {
+	next := g.now + tickS
+	if c == nil || r.plan.Parallel == 0 || next > r.halfAt || next+r.cls.lat > r.aimAt || !g.mayRetry(r) {
 		return false
 	}
 	room := 0.0
@@ -845,8 +846,10 @@
 			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
 			continue
 		}
-		// What the others have there is unseen: the best guess is that each sends as this one does.
-		load := float64(s.inflight) + 1 + float64(min(g.s.Gateways, lookAll)-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
+		// What the others have there is unseen: the best guess is that each sends as this one does, but one
+		// of many tells little of the rest.
+		others := float64(min(g.s.Gateways, lookAll) - 1)
+		load := float64(s.inflight) + 1 + others*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
 		if s.Zone != g.s.Zone {
 			load += crossWeight * g.s.CrossZonePrice
 		}
