Give cold backends their part by chance instead of by what one gateway counts

Ruled out: late lists (the new ones were known and used) and slow cold servers (they answered fastest).

Cause: `coldRoom` compares one request with a second's budget of one gateway each time `choose` happens to look: what a cold server gets goes with the square of a gateway's requests, so with few requests a gateway it gets next to nothing.

Now, with many gateways, each request is given to a cold server with the chance of that one's part of all capacity, less a share that is largest for the coldest, as chance swings their load most; the parts add up whatever each gateway sees. What is queued, and small fleets, go by `coldRoom` as before.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -270,3 +270,65 @@
 		t.Fatal("the connection went with what was given up on it")
 	}
 }
+
+// Warm servers drowned while cold ones, that had half of their capacity by then, idled: what a cold one got
+// went with the square of the requests that a gateway sees.
+func TestColdServersGetTheirPartWhateverAGatewaySees(t *testing.T) {
+	for _, perS := range []float64{1, 10} {
+		g, r := large(t)
+		list := manyServers(60)
+		for i := range 30 {
+			list[i].SinceS = 100 // cold from now on
+		}
+		g.Servers(100, list, true)
+		cold, all := 0, 0
+		share := 0.0
+		// Around the age at which they have some 0.6 of their capacity, over and over.
+		for round := range 40 {
+			for i := range 50 {
+				now := 105 + float64(i)/50
+				id := fmt.Sprint(round, "-", i)
+				g.now = now
+				g.work = perS * g.classes["read"].lat
+				g.weigh()
+				at(g, now, id, "read")
+				sent := r.of("send", id)
+				if len(sent) != 1 {
+					t.Fatalf("request %s was not sent", id)
+				}
+				s := g.servers[sent[0].server]
+				if all++; s.SinceS > 0 {
+					cold++
+				}
+				share = g.coldShare(g.servers["s00"])
+				g.Outcome(now, Outcome{ID: id, Server: s.ID, Status: OK, Over: true, SpentS: 0.1})
+				r.acts = nil
+			}
+		}
+		part := 30 * share / (30*share + 30)
+		if got := float64(cold) / float64(all); got < 0.4*part || got > 0.9*part {
+			t.Errorf("at %v requests a second cold servers get %.3f of all, with %.3f of the capacity", perS, got, part)
+		}
+	}
+}
+
+// A server that has just started gets less than its part, as chance alone could push it over.
+func TestColdestServersGetLeast(t *testing.T) {
+	count := func(age float64) (n int) {
+		g, _ := large(t)
+		list := manyServers(60)
+		list[0].SinceS = 100 - age
+		g.Servers(100, list, true)
+		g.weigh()
+		req := &request{cls: g.classes["read"]}
+		for range 60000 {
+			if g.coldTurn(req) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if young, old := float64(count(0.5))/0.24, float64(count(8))/0.84; young > 0.7*old {
+		t.Errorf("for its capacity a young server gets %.0f, an older one %.0f", young, old)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,8 @@
 	lookAll       = 12    // gateways, up to which each looks at all servers
 	swing         = 4.0   // deviations of chance that many gateways may go above their part of the limit
 	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
+	turnLeast     = 0.25  // of its part of all work, that a cold server gets from many gateways,
+	turnRise      = 0.65  // and so much more by the share of its capacity that it has
 	utilS         = 3.0   // a load report counts for so long
 	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
 	partWeight    = 1.0   // of its part of the limit by its speed that a server may hold
@@ -819,6 +821,27 @@
 	return s.inflight < 2 && (sum+work <= budget || sum == 0 && g.rng.Float64()*work <= budget*coldChance)
 }
 
+// coldTurn has chance give a request to a cold server, for the part of all capacity that this one has by
+// now. It is for many gateways: each sees too few requests to count a cold server's part of them, but the
+// parts add up whatever each sees. The less a server can do, the more its load swings: it gets less.
+func (g *Gateway) coldTurn(r *request) *server {
+	at := g.rng.Float64() * g.shares
+	for _, s := range g.order {
+		share := g.coldShare(s)
+		if share >= 1 || s.State != Up || g.now < s.downUntil {
+			continue
+		}
+		if at -= share * (turnLeast + turnRise*share); at >= 0 {
+			continue
+		}
+		if s.inflight > 1 || g.sickness(s, r.cls) >= hedgeSick || r.ran != nil && r.cls.Effect == Keyed {
+			return nil
+		}
+		return s
+	}
+	return nil
+}
+
 // full tells that as much is out as may be. A part of one that is free is rounded up while answers
 // are fast, and makes a pause while they are slow: many gateways that round up drive servers hard.
 // The limit is a part of what all may have out, so it bounds a gateway's mean. Of many gateways some are
@@ -836,12 +859,20 @@
 	if g.full(r) {
 		return nil
 	}
+	// What chance did not give to a cold server goes to a warm one, or waits; then cold ones are looked at.
+	drawn := g.s.Gateways > lookAll && r.drawn <= len(r.attempts)
+	if drawn {
+		r.drawn = len(r.attempts) + 1
+		if s := g.coldTurn(r); s != nil {
+			return s
+		}
+	}
 	// With many gateways each looks at a few servers only: all would pick the same one by the same news.
 	n := len(g.order)
 	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
 	for k := 0; k < n && look > 0; k++ {
 		s := g.order[(from+k)%n]
-		if s.State != Up || g.now < s.downUntil || !g.coldRoom(s, r.cls.lat) ||
+		if s.State != Up || g.now < s.downUntil || drawn && g.coldShare(s) < 1 || !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
 			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
 			continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -122,6 +122,7 @@
 	written  bool // to a server, whole
 	halfAt   float64
 	stream   bool
+	drawn    int // attempts for which chance has had its say about cold servers
 	prio     float64
 	cheap    float64 // 0 for the dearest class, towards 1 for the cheapest
 }
