--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,7 +58,7 @@
 	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
 	partWeight    = 1.0   // of its part of the limit by its speed that a server may hold
 	crossWeight   = 25.0  // attempts out that the price of crossing zones stands for, a point of 1
-	connWeight    = 12.0  // the same for the price of a new connection
+	connWeight    = 24.0  // the same for the price of a new connection
 	connShare     = 0.4   // of the time after which idle ones close, for which they are counted on
 	againWeight   = 4.0   // the same for a server that the request was sent to before
 	sickTauS      = 4.0   // how long a sick server is shunned
