Send no copy for time in which the gateway itself stood still

Its timers ran first then: `watch` found the save-sim's attempt 1.28 s old, of which it had stood still 0.67, and sent a second copy on an idle connection; next the loop took the answer that had lain in the socket (0.5 s after it was sent) and passed it on. The backend turned the copy away as over. Ruled out: a panic, the module's answer overdue, and a send by the module after its answer (the copy is logged first). What made it stand still is not known; nothing in its log differs from others.

Cause: `watch` measures silence from `gapAt` on, but the age at which it sends a copy from the send on, so that its own gap counts as the server's delay.

Now both leave the gap out. It narrows the window: the answer of an attempt may still cross a copy that was due anyway.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -352,3 +352,25 @@
 		}
 	}
 }
+
+// After half a second in which a gateway itself stood still it sent a copy, while the answer waited in its
+// own socket: the copy went out beside the final answer.
+func TestOwnGapSendsNoCopy(t *testing.T) {
+	wait := func(from, to float64, gap bool) int {
+		g, r := large(t)
+		at(g, 100, "q", "read")
+		for now := 100.0; now < to; now += tickS {
+			if !gap || now < from {
+				g.Timer(now, 1)
+			}
+		}
+		g.Timer(to, 1)
+		return len(r.of("send", "q"))
+	}
+	if n := wait(100.3, 100.75, false); n != 2 {
+		t.Fatalf("%d attempts without a gap: the test proves nothing", n)
+	}
+	if n := wait(100.3, 100.75, true); n != 1 {
+		t.Fatalf("%d attempts as the gap ends", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1026,7 +1026,7 @@
 			continue
 		}
 		a := &r.attempts[len(r.attempts)-1]
-		age, ill := g.now-a.sentAt, g.sickness(a.srv, r.cls) > hedgeSick
+		age, ill := g.now-max(a.sentAt, g.gapAt), g.sickness(a.srv, r.cls) > hedgeSick
 		early := !ill && (!g.s.Parallel || age < hedgeX*r.cls.lat || len(g.queue) > 0)
 		if early || a.done || a.called || age < hedgeShare*r.cls.AimS {
 			continue
