Give the coldest backends less, and nothing that must not run twice

Cause: a young server's part is one or two requests a second, and chance makes eight of them; the largest ones are those of preapproval.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -314,13 +314,13 @@
 
 // A server that has just started gets less than its part, as chance alone could push it over.
 func TestColdestServersGetLeast(t *testing.T) {
-	count := func(age float64) (n int) {
+	count := func(class string, age float64) (n int) {
 		g, _ := large(t)
 		list := manyServers(60)
 		list[0].SinceS = 100 - age
 		g.Servers(100, list, true)
 		g.weigh()
-		req := &request{cls: g.classes["read"]}
+		req := &request{cls: g.classes[class]}
 		for range 60000 {
 			if g.coldTurn(req) != nil {
 				n++
@@ -328,9 +328,12 @@
 		}
 		return n
 	}
-	if young, old := float64(count(0.5))/0.24, float64(count(8))/0.84; young > 0.7*old {
+	if young, old := float64(count("read", 0.5))/0.24, float64(count("read", 8))/0.84; young > 0.6*old {
 		t.Errorf("for its capacity a young server gets %.0f, an older one %.0f", young, old)
 	}
+	if young, old := count("pay", 0.5), count("pay", 8); young > 0 || old == 0 {
+		t.Errorf("of what must not run twice a young server gets %d, an older one %d", young, old)
+	}
 }
 
 // Members of a parallel plan sent on news half a second old, in which others had taken the slots.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,8 +53,9 @@
 	lookAll       = 12    // gateways, up to which each looks at all servers
 	swing         = 4.0   // deviations of chance that many gateways may go above their part of the limit
 	coldChance    = 0.5   // of a gateway's part of a cold server, where that is under one request
-	turnLeast     = 0.25  // of its part of all work, that a cold server gets from many gateways,
+	turnLeast     = 0.15  // of its part of all work, that a cold server gets from many gateways,
 	turnRise      = 0.65  // and so much more by the share of its capacity that it has
+	turnUnsafe    = 0.35  // with less of that it gets nothing that must not run twice
 	utilS         = 3.0   // a load report counts for so long
 	utilWeight    = 2.0   // attempts that a server's cores all busy stand for
 	partWeight    = 1.0   // of its part of the limit by its speed that a server may hold
@@ -835,7 +836,8 @@
 		if at -= share * (turnLeast + turnRise*share); at >= 0 {
 			continue
 		}
-		if s.inflight > 1 || g.sickness(s, r.cls) >= hedgeSick || r.ran != nil && r.cls.Effect == Keyed {
+		if s.inflight > 1 || g.sickness(s, r.cls) >= hedgeSick || share < turnUnsafe && r.cls.Effect == Unsafe ||
+			r.ran != nil && r.cls.Effect == Keyed {
 			return nil
 		}
 		return s
