Ask a silent agent again within the drain grace, and read lists as JSON values

But what the agent has counts as told whether or not a watch is open, and at an agent's return at once: sends must end 0.25 s later. - A question that hung from an outage was waited for over 4.5 s.

Ruled out: that the agent answers late by itself.

Now the agent is asked every 0.3 of the grace until one question is answered, the first question staying open for an agent that is only slow; a watch is broken half a second after a missing blank line; values are read as a stream, each bounded. Only whole lists that can't be read are asked for ever less often.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -1,8 +1,7 @@
 package ingress
 
 import (
-	"bufio"
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,14 +17,22 @@
 )
 
 const (
-	// A watch sends a line every 2 s. After two that are missing the connection is taken for dead;
-	// the agent answers at once, so a needless reconnect costs little.
-	watchSilence = 4500 * time.Millisecond
-	backoffFirst = 50 * time.Millisecond
-	backoffMost  = 2 * time.Second
-	maxListLine  = 4 << 20
+	// A watch sends a line every 2 s. Soon after one that is missing the connection is taken for broken;
+	// the agent answers at once, so a needless question costs little.
+	watchSilence = 2500 * time.Millisecond
+	// What the agent has counts as told, whether or not a watch is open, and sends to a draining backend
+	// must end within a grace of that. So an agent that was down is found again within this share of it:
+	// it is asked again after so long, be it that it refuses or that it is silent.
+	askAgainShare = 0.3
+	graceDefault  = 0.25 // where the settings name none
+	questionsMost = 3    // unanswered ones to an agent, beside the first
+	badAgainFirst = 50 * time.Millisecond
+	badAgainMost  = 2 * time.Second // whole lists cost; one that can't be read is not asked for more often
+	maxListValue  = 4 << 20
 )
 
+var errListTooLong = errors.New("the list is too long")
+
 // targets is a list of backends, or a change of it, as discovery words it.
 type targets struct {
 	Version int64    `json:"version"`
@@ -46,15 +53,6 @@
 var targetStates = map[string]policy.State{"in_service": policy.Up, "terminating": policy.Draining,
 	"terminated": policy.Removed}
 
-// parseTargets reads one line of a watch and checks every entry of it.
-func parseTargets(line []byte) (targets, error) {
-	var t targets
-	if err := json.Unmarshal(line, &t); err != nil {
-		return t, err
-	}
-	return t, t.check()
-}
-
 func (t targets) check() error {
 	for _, s := range t.Servers {
 		if err := s.check(); err != nil {
@@ -91,18 +89,21 @@
 	in      *Ingress
 	http    *http.Client
 	addr    string
-	version int64 // the last that was taken in
-	whole   bool  // changes may be missing: only the whole list tells
+	version int64         // the last that was taken in
+	whole   bool          // changes may be missing: only the whole list tells
+	again   time.Duration // until an agent that does not answer is asked again
 }
 
 // watchDiscovery keeps a watch open for as long as ctx lasts, and moves it at once when the
 // configuration was read again. An agent at another address may count its versions in its own way,
 // so the whole list is asked for there. What is known stays until that has come.
 func (in *Ingress) watchDiscovery(ctx context.Context, reread <-chan Config) {
+	grace := cmp.Or(in.cfg.Settings.StopSendingS, graceDefault)
 	w := &watcher{in: in, addr: in.cfg.Discovery, version: in.cfg.Known.Version,
+		again: time.Duration(grace * askAgainShare * float64(time.Second)),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
-	backoff := backoffFirst
+	bad := badAgainFirst
 	for ctx.Err() == nil {
 		round, stop := context.WithCancel(ctx)
 		ended := make(chan error, 1)
@@ -116,21 +117,24 @@
 			}
 			seen, addr := w.version, w.addr
 			in.post(in.clock.now(), func() { in.note("watch ended", "error", err, "address", addr, "version", seen) })
-			if seen != before {
-				backoff = backoffFirst
+			pause := min(w.again, badAgainFirst)
+			if seen != before || !w.whole {
+				bad = badAgainFirst
+			} else { // nothing of use has come, and the next question is for the whole list
+				pause, bad = max(pause, bad), min(2*bad, badAgainMost)
 			}
 			select {
 			case <-ctx.Done():
 			case cfg := <-reread:
 				w.move(cfg)
-			case <-time.After(backoff):
+				bad = badAgainFirst
+			case <-in.pause(pause):
 			}
-			backoff = min(2*backoff, backoffMost)
 		case cfg := <-reread:
 			stop()
 			<-ended
 			w.move(cfg)
-			backoff = backoffFirst
+			bad = badAgainFirst
 		}
 		stop()
 	}
@@ -142,9 +146,9 @@
 	w.in.log.Info("configuration read again", "discovery", cfg.Discovery)
 }
 
-// get asks discovery; the answer's body is the caller's to close.
-func (w *watcher) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/api/targets"+query, nil)
+// get asks discovery once; the answer's body is the caller's to close.
+func (w *watcher) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/api/targets"+query, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -159,56 +163,158 @@
 	return resp.Body, nil
 }
 
+// ask asks discovery until it answers. An agent that is down is silent, and what it was asked meanwhile
+// it may never answer: it is asked again and again, and the first answer is the one that is read. The
+// first question stays open beside the later ones, for an agent that is only slow. It returns an error
+// when all that was asked has failed, or ctx has ended, which also ends the answer.
+func (w *watcher) ask(ctx context.Context, query string) (io.ReadCloser, error) {
+	type answer struct {
+		body io.ReadCloser
+		err  error
+		n    int
+	}
+	var (
+		answers = make(chan answer)
+		done    = make(chan struct{}) // nobody reads answers any more
+		stops   []context.CancelFunc  // of the questions, in their order
+		open    = map[int]bool{}      // those that are unanswered
+		addr    = w.addr              // a question that was given up must not look at the watcher
+		next    = time.NewTimer(0)
+	)
+	defer next.Stop()
+	defer close(done)
+	for {
+		select {
+		case <-next.C:
+			next.Reset(w.again)
+			n := len(stops)
+			if old := n - questionsMost; old > 0 {
+				stops[old]()
+			}
+			one, stop := context.WithCancel(ctx)
+			stops, open[n] = append(stops, stop), true
+			go func() {
+				body, err := w.get(one, addr, query)
+				select {
+				case answers <- answer{body, err, n}:
+				case <-done:
+					stop()
+					if body != nil {
+						body.Close()
+					}
+				}
+			}()
+		case a := <-answers:
+			delete(open, a.n)
+			if a.err != nil {
+				stops[a.n]()
+				if len(open) > 0 {
+					continue
+				}
+				return nil, a.err
+			}
+			for n, stop := range stops {
+				if n != a.n {
+					stop()
+				}
+			}
+			return answerBody{a.body, stops[a.n]}, nil
+		case <-ctx.Done():
+			for _, stop := range stops {
+				stop()
+			}
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// answerBody lets go of its question when it is closed.
+type answerBody struct {
+	io.ReadCloser
+	stop context.CancelFunc
+}
+
+func (b answerBody) Close() error {
+	defer b.stop()
+	return b.ReadCloser.Close()
+}
+
+// listReader puts off the end of a watch while bytes come, be they of a list or an empty line, and bounds
+// what a value of the stream may take.
+type listReader struct {
+	from    io.Reader
+	silence *time.Timer
+	left    int
+}
+
+func (r *listReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if n > 0 {
+		r.silence.Reset(watchSilence)
+	}
+	if r.left -= n; r.left < 0 {
+		return 0, errListTooLong
+	}
+	return n, err
+}
+
 // watch reads one watch to its end, ahead of it the whole list if changes may be missing.
 func (w *watcher) watch(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
-	defer silence.Stop()
 	if w.whole {
 		if err := w.list(ctx); err != nil {
 			return fmt.Errorf("whole list: %w", err)
 		}
-		silence.Reset(watchSilence)
 	}
-	body, err := w.get(ctx, fmt.Sprintf("?watch=1&after=%d", w.version))
+	return w.read(ctx, fmt.Sprintf("?watch=1&after=%d", w.version), func(values *json.Decoder, r *listReader) error {
+		for {
+			var t targets
+			err := values.Decode(&t)
+			if err == nil {
+				err = t.check()
+				if err == nil && !t.Full && t.Version < w.version {
+					err = fmt.Errorf("version %d comes after %d", t.Version, w.version)
+				}
+			} else if !unreadable(err) {
+				return err
+			}
+			if err != nil { // what it told is lost
+				w.whole = true
+				return err
+			}
+			r.left = maxListValue
+			w.take(t)
+		}
+	})
+}
+
+// unreadable tells what came and can't be used from the end of the connection.
+func unreadable(err error) bool {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	return errors.As(err, &syntax) || errors.As(err, &kind) || errors.Is(err, errListTooLong)
+}
+
+// read asks discovery and hands on the JSON values of the answer. Blank lines may come between them, and
+// they may be indented. A silent answer ends.
+func (w *watcher) read(ctx context.Context, query string, use func(*json.Decoder, *listReader) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	body, err := w.ask(ctx, query)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxListLine)
-	for lines.Scan() {
-		silence.Reset(watchSilence)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			continue
-		}
-		t, err := parseTargets(line)
-		if err == nil && !t.Full && t.Version < w.version {
-			err = fmt.Errorf("version %d comes after %d", t.Version, w.version)
-		}
-		if err != nil { // what it told is lost
-			w.whole = true
-			return err
-		}
-		w.take(t)
-	}
-	if errors.Is(lines.Err(), bufio.ErrTooLong) {
-		w.whole = true
-	}
-	return lines.Err()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	r := &listReader{body, silence, maxListValue}
+	return use(json.NewDecoder(r), r)
 }
 
 // list takes in the whole list. An entry that can't be used is left out: the rest must not wait for it.
 func (w *watcher) list(ctx context.Context) error {
-	body, err := w.get(ctx, "")
-	if err != nil {
-		return err
-	}
-	defer body.Close()
 	var t targets
-	if err := json.NewDecoder(io.LimitReader(body, maxListLine)).Decode(&t); err != nil {
+	err := w.read(ctx, "", func(values *json.Decoder, _ *listReader) error { return values.Decode(&t) })
+	if err != nil {
 		return err
 	}
 	t.Full = true
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -77,7 +77,8 @@
 	bytes  []byte // of the command that is being written
 	input  budget // what clients and backends have sent and nobody has used up yet; of all goroutines
 
-	acceptFor time.Duration // how long after the signal new connections are taken
+	acceptFor time.Duration                        // how long after the signal new connections are taken
+	pause     func(time.Duration) <-chan time.Time // between questions to discovery
 	listener  *net.TCPListener
 	clients   clientSet
 	requests  map[string]*request
@@ -106,7 +107,7 @@
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
-		acceptFor: acceptAfterTerm}
+		acceptFor: acceptAfterTerm, pause: time.After}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,7 @@
 		ColdS        float64 `json:"coldS"`
 		FallMultiple float64 `json:"fallMultiple"`
 		FallS        float64 `json:"fallS"`
+		StopSendingS float64 `json:"stopSendingWithinS"`
 	} `json:"rules"`
 	ScoreParts struct {
 		WorstTenant float64 `json:"worstTenant"`
@@ -85,6 +86,7 @@
 	policy.Settings
 	DialTimeoutS float64 // a connection not made by then has failed
 	MostHeld     int     // open requests at most; 0: no such limit
+	StopSendingS float64 // after the news of a drain, within which sends must end; 0: not told
 }
 
 // Parse translates the settings; whether they make sense is for policy.New to say.
@@ -93,7 +95,8 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Settings{}, err
 	}
-	s := Settings{DialTimeoutS: w.Limits.DialTimeoutS, MostHeld: w.Limits.MostHeld}
+	s := Settings{DialTimeoutS: w.Limits.DialTimeoutS, MostHeld: w.Limits.MostHeld,
+		StopSendingS: w.Rules.StopSendingS}
 	s.Settings = policy.Settings{
 		Me: w.Me, Gateways: w.Balancers, Zone: w.MyZone,
 		MaxUnits: w.FamilyInfo.MaxUnits, TrueUp: w.FamilyInfo.TruedUp, PeerIntake: w.FamilyInfo.PeerIntake,
