Take in what has come before acting on time, and send nothing for who has left

After a standstill that is the usual case: an attempt was timed out, or a copy sent, beside its answer.

Ruled out: that Gosched would do for the readers (it does not poll the network, a short sleep does).

Now the queue is handled before each timer; if timers are over 20 ms late, the readers get turns first. A send that is not the first, or not fresh, looks at the sockets of the earlier attempts and of the client, also when a dial comes up. It costs a system call for such sends alone.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -36,7 +36,7 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	switch {
-	case len(r.attempts) > max(1, in.cfg.Settings.MaxAttempts) || in.unsendable(a) && timeoutS >= 0:
+	case len(r.attempts) > max(1, in.cfg.Settings.MaxAttempts) || (in.unsendable(a) || in.overtaken(r)) && timeoutS >= 0:
 		in.later(a, policy.Moot)
 	case timeoutS < 0:
 		in.later(a, policy.Timeout)
@@ -67,6 +67,29 @@
 	return a.be == nil || a.be.state != policy.Up || a.req != nil && a.req.over || in.now >= a.until
 }
 
+// overtaken tells that what would make a send of the request needless or wrong has come, though the loop
+// has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left while
+// the request waited. A fresh request has neither.
+func (in *Ingress) overtaken(r *request) bool {
+	first := len(r.attempts) == 1
+	for _, a := range r.attempts {
+		if c := a.conn; c != nil && !a.done && (c.dead.Load() || !c.busy.Load() || !silent(c.raw)) {
+			return true
+		}
+	}
+	return (!first || r.waited || in.clock.now()-r.readAt > lateS) && in.hungUp(r.client)
+}
+
+// hungUp tells that the client has closed its connection, and takes its leave then, once the module's
+// current event is over.
+func (in *Ingress) hungUp(c *client) bool {
+	if c.closed || !closedByPeer(c.raw) {
+		return c.closed
+	}
+	in.soon = append(in.soon, func() { in.clientGone(c) })
+	return true
+}
+
 // start writes the attempt to an idle connection, or has it wait for a new one.
 func (in *Ingress) start(a *attempt) {
 	a.timer = in.after(a.until-in.now, func() { in.expire(a) })
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -44,6 +44,7 @@
 	// Its reader's.
 	buf    buffer
 	errors int
+	waited bool // commands have waited for a permit, so nothing tells for how long those after them have
 
 	// Loop only.
 	slots    []*slot // no more than permits, and one
@@ -90,6 +91,10 @@
 		if c.spoke && c.idle() && in.now-c.usedAt > idleMost && silent(c.raw) {
 			in.closeClient(c)
 		}
+		// Its reader waits for a permit and does not see the end.
+		if len(c.slots) >= pipelineMost && closedByPeer(c.raw) {
+			in.clientGone(c)
+		}
 	}
 }
 
@@ -238,8 +243,13 @@
 		}
 		select {
 		case c.permits <- struct{}{}:
-		case <-c.quit:
-			return 0, false
+		default:
+			c.waited = true
+			select {
+			case c.permits <- struct{}{}:
+			case <-c.quit:
+				return 0, false
+			}
 		}
 		if bad := c.command(in, at, words, args); bad != nil {
 			if c.errors++; c.errors == errorsMost {
@@ -291,6 +301,7 @@
 			return nil
 		}
 		call.keep()
+		call.waited = c.waited
 		in.post(at, func() { in.take(c, call, at) })
 	case bytes.EqualFold(args[0], []byte("PING")):
 		in.post(at, func() { in.ping(c) })
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -108,7 +108,7 @@
 func TestQuietWatchesThatEndAreOpenedAgainSoon(t *testing.T) {
 	pauses, free := make(chan time.Duration, 64), make(chan time.Time)
 	a := newAgent(t, func(string) []string { return nil }) // an empty line, and the end
-	for name, addr := range map[string]string{"quiet": a.addr(), "refusing": "127.0.0.1:1"} {
+	for name, addr := range map[string]string{"quiet": a.addr(), "refusing": "127.0.0.1:2"} {
 		t.Run(name, func(t *testing.T) {
 			discovering(t, addr, func(r *rig) {
 				r.in.cfg.Settings.StopSendingS = 0.2
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -85,8 +85,11 @@
 	reread chan Config
 }
 
+// noDiscovery is an address that refuses.
+const noDiscovery = "127.0.0.1:1"
+
 func testConfig(backends ...string) Config {
-	c := Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Sockets: 1024,
+	c := Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: noDiscovery, Sockets: 1024,
 		Settings: settings.Settings{DialTimeoutS: 60, Settings: policy.Settings{ConnIdleS: 15, Gateways: 2, MaxUnits: 6,
 			MaxAttempts: 5, MaxRetryAfterS: 1, RetryAfter: true, Cancel: true,
 			Classes: []policy.Class{
@@ -110,6 +113,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, in: in, mod: newModule(), end: make(chan struct{}), term: cancel, reread: make(chan Config)}
 	in.backends.copyS = 0 // the tests' answers are alike
+	quiet := make(chan struct{})
+	if cfg.Discovery == noDiscovery { // asked once, so that no event comes of it later
+		in.pause = func(time.Duration) <-chan time.Time {
+			close(quiet)
+			return nil
+		}
+	} else {
+		close(quiet)
+	}
 	if change != nil {
 		change(r)
 	}
@@ -117,6 +129,7 @@
 		defer close(r.end)
 		in.serve(ctx, r.reread, r.mod)
 	}()
+	get(t, quiet)
 	t.Cleanup(func() {
 		cancel()
 		r.do(func() {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -26,6 +26,12 @@
 	// SIGKILL may follow from 3.7 s after the signal on. The module answers long before.
 	drainMost  = 3500 * time.Millisecond
 	sweepEvery = time.Second
+	// Each time limit has 50 ms of slack. A timer that is later than a part of it tells that this process
+	// stood still, and what came meanwhile may still lie in the sockets.
+	lateS = 0.02
+	// So the readers are given turns, until one brings nothing more, and so many at most.
+	readersTurn  = 200 * time.Microsecond
+	readersTurns = 10
 )
 
 // clock gives Unix seconds that advance by the monotonic clock alone.
@@ -79,6 +85,7 @@
 
 	acceptFor time.Duration                        // how long after the signal new connections are taken
 	pause     func(time.Duration) <-chan time.Time // between questions to discovery
+	turn      func()                               // lets readers run
 	listener  *net.TCPListener
 	clients   clientSet
 	requests  map[string]*request
@@ -107,7 +114,8 @@
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
-		acceptFor: acceptAfterTerm, pause: time.After}
+		acceptFor: acceptAfterTerm, pause: time.After,
+		turn: func() { time.Sleep(readersTurn) }}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
@@ -273,13 +281,34 @@
 	in.wake.Reset(max(0, time.Duration((in.wakeAt-in.clock.now())*float64(time.Second))))
 }
 
+// fire runs the timers that are due. What has come goes first, an answer, a hang-up or a list: else a copy
+// would be sent beside the answer, or an attempt timed out that is done.
 func (in *Ingress) fire() {
 	now := in.clock.now()
-	for len(in.timers) > 0 && in.timers[0].at <= now {
+	if len(in.timers) > 0 && now-in.timers[0].at > lateS {
+		for n := range readersTurns {
+			if in.turn(); len(in.events) == 0 && n > 0 {
+				break
+			}
+			in.takeIn()
+		}
+	}
+	for {
+		in.takeIn()
+		if len(in.timers) == 0 || in.timers[0].at > now {
+			return
+		}
 		in.handle(event{now, heap.Pop(&in.timers).(*timer).do})
 	}
 }
 
+// takeIn handles what is in the queue by now.
+func (in *Ingress) takeIn() {
+	for range len(in.events) {
+		in.handle(<-in.events)
+	}
+}
+
 // ---- policy.Actions, but for those of requests and attempts ----
 
 // SetTimer implements policy.Actions.
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -180,6 +180,33 @@
 	return closed == nil && (err == syscall.EAGAIN || err == syscall.EINTR)
 }
 
+// closedByPeer tells that the other end has closed a connection, or reset it, also while bytes of it are
+// still unread here.
+func closedByPeer(raw syscall.RawConn) (gone bool) {
+	raw.Control(func(fd uintptr) {
+		// The first byte of the struct is the state.
+		if info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			switch info & 0xff {
+			case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+				gone = true
+				return
+			}
+		}
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return gone
+}
+
+// States of a connection that its other end has closed (tcp_states.h).
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
 // dialFor has the attempt wait for a new connection; false if there may be no more of them.
 func (in *Ingress) dialFor(a *attempt) bool {
 	if in.backends.open >= in.backends.most && !in.evictIdle() {
@@ -249,7 +276,7 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) {
+		if in.unsendable(a) || a.req != nil && in.hungUp(a.req.client) {
 			in.later(a, policy.Moot)
 			continue
 		}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -12,6 +12,7 @@
 	*call
 	client   *client
 	slot     *slot
+	readAt   float64 // when its last byte had come
 	deadline float64
 	timer    *timer     // rings when the module ought to have answered; stopped with the answer
 	attempts []*attempt // as many as the module may ask for, and one
@@ -52,7 +53,7 @@
 	}
 	taken = true
 	c.surplus, c.spoke = false, true
-	r := &request{call: q, client: c, slot: &slot{}, deadline: at + q.waitS}
+	r := &request{call: q, client: c, slot: &slot{}, readAt: at, deadline: at + q.waitS}
 	r.slot.req = r
 	c.slots = append(c.slots, r.slot)
 	c.usedAt = in.now
