Close connections between requests only once their reader stands still

A command that the reader had taken from the socket and posted, but the loop not come to, was lost with its connection. - addClient closed a connection that was accepted before the listener closed, and the backlog was reset when the listener closed, each with its request. - stop closed all clients right after it wrote failures: what lay in the queue or behind was lost, and a close on unread bytes resets the last answers. - drainMost was 3.5 s, but SIGKILL may come 0.7 s after the longest deadline, where that is under 3 s.

Ruled out: that a look at the socket before the close is enough (it was there; the bytes are the reader's by then). That the half second of acceptance is at fault: new connections come for 0.4 s at most.

Now the reader of a connection that is to close is asked to stand still, by its deadline; when it says so all it read has been handled, and the connection is closed if it is idle and nothing waits in it. The accept loop closes the listener itself, after two waits without a connection. At the end of a drain all is answered 0.15 s before SIGKILL may come; what still arrives is refused at once until its connection stands still.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,8 +24,10 @@
 	lingerBytes  = 1 << 20         // and how many
 	idleMost     = 10.0            // seconds for which a connection may stand idle
 	acceptRetry  = 5 * time.Millisecond
-	acceptSlack  = 8  // connections accepted that the loop has not come to
-	reservedFDs  = 32 // for the listener, discovery, peers, the slack and the runtime
+	lastWords    = 100 * time.Millisecond // for a command on a connection that came last
+	lastCall     = 10 * time.Millisecond  // without a new connection, after which the listener closes
+	acceptSlack  = 8                      // connections accepted that the loop has not come to
+	reservedFDs  = 32                     // for the listener, discovery, peers, the slack and the runtime
 )
 
 // slot is the place of one answer in its connection's order.
@@ -40,6 +43,8 @@
 	raw     syscall.RawConn
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
+	pausing atomic.Bool   // the loop wants the reader to stand still between commands
+	resume  chan struct{} // and to go on
 
 	// Its reader's.
 	buf    buffer
@@ -56,6 +61,8 @@
 	ending   bool // the last answer is written, what still comes is read and dropped
 	lingered bool // for long enough
 	surplus  bool // beyond the bound: what it asks is refused while that holds
+	asked    bool // its reader is to stand still, so that the connection can be closed
+	used     bool // since then
 	closed   bool
 }
 
@@ -69,6 +76,7 @@
 	all     map[*client]struct{}
 	most    int
 	surplus int           // so many more are taken, to be refused in words
+	going   int           // connections that were asked to stand still, to be closed
 	room    chan struct{} // a place for each connection, taken before it is accepted
 
 	commandMost time.Duration // how long one may take for its first command, and for a whole one
@@ -84,12 +92,15 @@
 
 func (s *clientSet) open() int { return len(s.all) }
 
+// staying counts those that are not about to be closed.
+func (s *clientSet) staying() int { return len(s.all) - s.going }
+
 // sweep closes what has idled for long, so that clients that keep a connection for good hold none of
 // the memory either. What has never spoken is its reader's to answer.
 func (s *clientSet) sweep(in *Ingress) {
 	for c := range s.all {
-		if c.spoke && c.idle() && in.now-c.usedAt > idleMost && silent(c.raw) {
-			in.closeClient(c)
+		if c.spoke && c.idle() && in.now-c.usedAt > idleMost {
+			in.endIdle(c)
 		}
 		// Its reader waits for a permit and does not see the end.
 		if len(c.slots) >= pipelineMost && closedByPeer(c.raw) {
@@ -101,12 +112,45 @@
 // closeIdle closes each connection that waits for no answer.
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
-		if c.idle() && (c.ending || silent(c.raw)) {
-			in.closeClient(c)
+		if c.idle() {
+			in.endIdle(c)
 		}
 	}
 }
 
+// endIdle closes a connection between requests. Its reader may be in the middle of a command, and what it
+// posted may lie in the queue: the connection ends when it stands still and nothing of the kind was left.
+func (in *Ingress) endIdle(c *client) {
+	switch {
+	case c.closed || c.asked:
+	case c.ending: // what still comes is dropped
+		in.closeClient(c)
+	default:
+		c.asked, c.used = true, false
+		in.clients.going++
+		c.pausing.Store(true)
+		c.conn.SetReadDeadline(past)
+	}
+}
+
+// past is a deadline that is over.
+var past = time.Unix(1, 0)
+
+// paused takes the word of a reader that it stands still. All that it read before has been handled.
+func (in *Ingress) paused(c *client) {
+	if c.closed {
+		return
+	}
+	if (in.leaving || !c.used) && c.idle() && len(c.buf.b) == 0 && silent(c.raw) {
+		in.closeClient(c)
+		return
+	}
+	c.asked = false
+	in.clients.going--
+	c.pausing.Store(false)
+	c.resume <- struct{}{}
+}
+
 // rank orders the connections that may be closed for others: first those that were told their last
 // answer, then those that have said nothing, then those that idle.
 func (c *client) rank() int {
@@ -123,31 +167,37 @@
 // lowest rank, and of them those unused for longest, were closed to make room.
 func (s *clientSet) full(in *Ingress, newcomer *client) bool {
 	for {
-		others := len(s.all)
-		if _, counted := s.all[newcomer]; counted {
-			others--
-		}
-		if others < s.most {
-			return false
-		}
+		others := 0
 		var first *client
 		for c := range s.all {
-			if c == newcomer || !c.idle() {
+			if c == newcomer || c.asked { // as good as gone
+				continue
+			}
+			if others++; !c.idle() {
 				continue
 			}
 			if first == nil || c.rank() < first.rank() || c.rank() == first.rank() && c.usedAt < first.usedAt {
 				first = c
 			}
 		}
-		if first == nil {
+		switch {
+		case others < s.most:
+			return false
+		case first == nil:
 			return true
 		}
-		in.closeClient(first)
+		in.endIdle(first)
 	}
 }
 
-// accept takes connections until the listener is closed.
+// accept takes connections until the loop gives the listener a deadline, and then those that have come
+// before it closes the listener: they count as taken too.
 func (in *Ingress) accept(l *net.TCPListener) {
+	defer func() {
+		l.Close()
+		in.post(in.clock.now(), func() { in.accepted = true })
+	}()
+	calm := 0 // waits for a connection that none came in, after the deadline
 	words := newVocabulary(in.cfg.Settings.Settings)
 	for {
 		select {
@@ -155,9 +205,21 @@
 		case <-in.done:
 			return
 		}
+		from := time.Now()
 		conn, err := l.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			// It may have come back without a look, as the deadline was over by then: a wait of its own tells.
+			if calm++; time.Since(from) < lastCall/2 {
+				calm = 0
+			}
+			if calm > 1 {
+				return
+			}
+			<-in.clients.room
+			l.SetDeadline(time.Now().Add(lastCall))
+			continue
 		}
 		var raw syscall.RawConn
 		if err == nil {
@@ -173,8 +235,7 @@
 			continue
 		}
 		c := &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
-			buf: buffer{budget: &in.input}}
-		conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
+			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}}
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
 	}
@@ -182,13 +243,16 @@
 
 func (in *Ingress) addClient(c *client) {
 	c.surplus = in.clients.full(in, c)
-	if in.leaving || c.surplus && in.clients.open() >= in.clients.most+in.clients.surplus {
+	if c.surplus && in.clients.staying() >= in.clients.most+in.clients.surplus {
 		in.note("client turned away: too many connections", "open", in.clients.open())
 		in.closeClient(c)
 		return
 	}
 	c.usedAt = in.now
 	in.clients.all[c] = struct{}{}
+	if in.leaving { // it came before the listener closed, and so does what it asks
+		in.after(lastWords.Seconds(), func() { in.endIdle(c) })
+	}
 }
 
 // read parses what the client sends, and posts each command with the time of its last byte. Its
@@ -196,6 +260,14 @@
 func (c *client) read(in *Ingress, words *vocabulary) {
 	defer c.buf.free()
 	timed := true
+	until := time.Now().Add(in.clients.commandMost)
+	limit := func(at time.Time) {
+		until = at
+		if c.conn.SetReadDeadline(at); c.pausing.Load() {
+			c.conn.SetReadDeadline(past)
+		}
+	}
+	limit(until)
 	for {
 		room := c.buf.room()
 		if room == nil {
@@ -212,6 +284,16 @@
 		unfinished := used < len(c.buf.b)
 		c.buf.drop(used)
 		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.pausing.Load():
+			in.post(at, func() { in.paused(c) })
+			select {
+			case <-c.resume:
+				limit(until)
+			case <-c.quit:
+				return
+			}
+		case errors.Is(err, os.ErrDeadlineExceeded) && timed && time.Now().Before(until):
+			limit(until) // left over from a pause that has ended
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.refuse(in, at, errors.New("no whole command in time"))
 			return
@@ -220,10 +302,10 @@
 			return
 		case unfinished && (used > 0 || !timed):
 			timed = true
-			c.conn.SetReadDeadline(time.Now().Add(in.clients.commandMost))
+			limit(time.Now().Add(in.clients.commandMost))
 		case !unfinished && timed:
 			timed = false
-			c.conn.SetReadDeadline(time.Time{})
+			limit(time.Time{})
 		}
 	}
 }
@@ -341,7 +423,7 @@
 	}
 	clear(c.slots[:n])
 	c.slots = c.slots[:copy(c.slots, c.slots[n:])]
-	c.usedAt = in.now
+	c.usedAt, c.used = in.now, true
 	if !c.writing {
 		in.push(c)
 	} else if !in.hold(c, len(c.pending)-bytes) || len(c.pending) > pendingMost {
@@ -404,8 +486,10 @@
 	switch {
 	case c.ending && !c.lingered:
 		c.conn.CloseWrite()
-	case c.ending, in.leaving && len(c.slots) == 0:
+	case c.ending:
 		in.closeClient(c)
+	case in.leaving && len(c.slots) == 0:
+		in.endIdle(c)
 	}
 }
 
@@ -431,6 +515,9 @@
 	c.closed = true
 	in.input.give(c.held)
 	c.slots, c.pending, c.held = nil, nil, 0
+	if c.asked {
+		in.clients.going--
+	}
 	close(c.quit)
 	c.conn.Close()
 	delete(in.clients.all, c)
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -68,7 +68,7 @@
 	for _, which := range []string{"a later question", "the first question"} {
 		t.Run(which, func(t *testing.T) {
 			addr, asked := manualAgent(t)
-			r := discovering(t, addr, nil)
+			r := discovering(t, addr, func(r *rig) { r.in.cfg.Settings.StopSendingS = 0.25 })
 			first, second := get(t, asked), get(t, asked)
 			select {
 			case <-first.left:
@@ -183,8 +183,8 @@
 			a.tell(strings.Repeat(" ", readSize))
 		}
 	}()
-	for a = get(t, asked); a.query != "/api/targets"; { // a repeat of the first question may come before
-		a = get(t, asked)
+	if a = get(t, asked); a.query != "/api/targets" {
+		t.Fatalf("asked %q", a.query)
 	}
 	a.tell(listed(8, true, "z", "in_service"))
 	close(a.done)
--- /dev/null
+++ b/internal/ingress/drain_test.go
@@ -0,0 +1,156 @@
+package ingress
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"cometpond/policy"
+)
+
+// busy has the module refuse each request, so that the answer tells that it was asked.
+func busy(r *rig) { r.mod.onRequest = func(q policy.Request) { r.in.Refuse(q.ID, 0.5) } }
+
+// one is the connection of the only client.
+func (r *rig) one() (c *client) {
+	for c = range r.in.clients.all {
+	}
+	return c
+}
+
+// Guards against requests that are lost as their connection is closed between requests: the command has
+// been read, and waits in the queue while the loop takes the connection for idle.
+func TestACommandThatWasReadOutlastsTheClose(t *testing.T) {
+	for name, end := range map[string]func(r *rig){
+		"drain": func(r *rig) { r.in.leave() },
+		"idle":  func(r *rig) { r.in.now += idleMost + 1; r.in.clients.sweep(r.in) },
+		"evicted": func(r *rig) {
+			r.in.clients.most = 1
+			r.in.clients.full(r.in, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, testConfig(noDiscovery), busy)
+			c := r.client()
+			if c.send("PING"); c.line() != "+PONG" {
+				t.Fatal("not served")
+			}
+			r.still(func() { c.send(look("a")...) }, r.queued(1), func() { end(r) })
+			if got := c.line(); got != "-BUSY 500" {
+				t.Errorf("got %q", got)
+			}
+			if name == "drain" {
+				if got := c.line(); got != "" {
+					t.Errorf("behind it came %q", got)
+				}
+				return
+			}
+			if c.send("PING"); c.line() != "+PONG" {
+				t.Error("the connection is of no use afterwards")
+			}
+		})
+	}
+	t.Run("behind an answer in a drain", func(t *testing.T) {
+		r := start(t, testConfig(noDiscovery), nil)
+		c := r.client()
+		c.send(look("a")...)
+		get(t, r.mod.requests)
+		r.do(r.in.leave)
+		busy(r)
+		r.still(func() { c.send(look("b")...) }, r.queued(1), func() { r.in.Fail("a") })
+		if a, b := c.line(), c.line(); a != "-ERR failed" || b != "-BUSY 500" {
+			t.Errorf("got %q and %q", a, b)
+		}
+		if got := c.line(); got != "" {
+			t.Errorf("behind it came %q", got)
+		}
+	})
+	t.Run("at the end of a drain", func(t *testing.T) {
+		r := start(t, testConfig(noDiscovery), nil)
+		c := r.client()
+		c.send(look("a")...)
+		get(t, r.mod.requests)
+		r.still(func() { c.send(look("b")...) }, r.queued(1), func() {
+			r.in.leave()
+			r.in.stop()
+		})
+		if a, b := c.line(), c.line(); a != "-ERR failed" || b != "-BUSY 1000" {
+			t.Errorf("got %q and %q", a, b)
+		}
+		if got := c.line(); got != "" {
+			t.Errorf("behind it came %q", got)
+		}
+		get(t, r.end)
+	})
+}
+
+// Guards against a connection that is closed under half a command: it was read, and the rest may come.
+func TestHalfACommandOutlastsTheClose(t *testing.T) {
+	r := start(t, testConfig(noDiscovery), func(r *rig) {
+		busy(r)
+		r.in.clients.commandMost = time.Hour
+	})
+	c := r.client()
+	if c.send("PING"); c.line() != "+PONG" {
+		t.Fatal("not served")
+	}
+	all := command(look("a")...)
+	io.WriteString(c, all[:20])
+	r.until("half of it is read", func() bool { return silent(r.one().raw) })
+	r.do(r.in.leave)
+	r.until("the reader goes on", func() bool { return r.one() == nil || !r.one().asked })
+	io.WriteString(c, all[20:])
+	if got := c.line(); got != "-BUSY 500" || c.line() != "" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Guards against connections that are lost as the listener closes: those that were accepted while the loop
+// was busy, and those that nobody has accepted yet.
+func TestConnectionsThatCameBeforeTheListenerClosed(t *testing.T) {
+	t.Run("accepted", func(t *testing.T) {
+		r := start(t, testConfig(noDiscovery), busy)
+		c := (*wire)(nil)
+		r.still(func() { c = r.client(); c.send(look("a")...) }, r.queued(2), r.in.leave)
+		if got := c.line(); got != "-BUSY 500" || c.line() != "" {
+			t.Errorf("got %q", got)
+		}
+	})
+	t.Run("in the backlog", func(t *testing.T) {
+		r := start(t, testConfig(noDiscovery), func(r *rig) {
+			busy(r)
+			r.in.clients.room = make(chan struct{}, 1) // as if all descriptors were taken
+		})
+		first := r.client()
+		if first.send("PING"); first.line() != "+PONG" {
+			t.Fatal("not served")
+		}
+		second := r.client()
+		second.send(look("a")...)
+		r.do(r.in.leave)
+		if first.line() != "" {
+			t.Error("the idle connection is open")
+		}
+		if got := second.line(); got != "-BUSY 500" || second.line() != "" {
+			t.Errorf("got %q", got)
+		}
+		get(t, r.end)
+	})
+}
+
+// Guards against a drain that outlasts the time until SIGKILL, which short deadlines bring forward.
+func TestDrainEndsBeforeSIGKILL(t *testing.T) {
+	for _, deadlineS := range []float64{0.35, 2, 6} {
+		cfg := testConfig(noDiscovery)
+		for i := range cfg.Settings.Classes {
+			cfg.Settings.Classes[i].DeadlineS = deadlineS / float64(i+1)
+		}
+		kill := time.Duration(min(deadlineS, 3)*float64(time.Second)) + 700*time.Millisecond
+		r := start(t, cfg, nil)
+		r.do(func() {
+			if d := r.in.drainFor; d >= kill || d < kill-200*time.Millisecond || d <= r.in.acceptFor {
+				t.Errorf("deadline of %g s: all ends after %v, SIGKILL comes after %v", deadlineS, d, kill)
+			}
+		})
+	}
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -90,7 +90,7 @@
 
 func testConfig(backends ...string) Config {
 	c := Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: noDiscovery, Sockets: 1024,
-		Settings: settings.Settings{DialTimeoutS: 60, Settings: policy.Settings{ConnIdleS: 15, Gateways: 2, MaxUnits: 6,
+		Settings: settings.Settings{DialTimeoutS: 60, StopSendingS: 3600, Settings: policy.Settings{ConnIdleS: 15, Gateways: 2, MaxUnits: 6,
 			MaxAttempts: 5, MaxRetryAfterS: 1, RetryAfter: true, Cancel: true,
 			Classes: []policy.Class{
 				{Name: "look", AimS: 1, DeadlineS: 2, Effect: policy.Safe},
@@ -135,7 +135,7 @@
 		r.do(func() {
 			in.clients.all = map[*client]struct{}{}
 			in.requests = map[string]*request{}
-			in.leaving = true
+			in.leaving, in.accepted = true, true
 		})
 		<-r.end
 	})
@@ -568,7 +568,7 @@
 	addr, conns := listen(t)
 	r := start(t, testConfig(addr), func(r *rig) {
 		sendTo(0)(r)
-		r.in.acceptFor = time.Hour // until the test says so
+		r.in.acceptFor, r.in.drainFor = time.Hour, time.Hour // until the test says so
 	})
 	idle, old := r.client(), r.client()
 	idle.send("PING")
@@ -591,7 +591,7 @@
 	}
 	get(t, r.end)
 
-	r = start(t, testConfig(addr), func(r *rig) { r.in.acceptFor = time.Millisecond })
+	r = start(t, testConfig(addr), func(r *rig) { r.in.acceptFor, r.in.drainFor = time.Millisecond, time.Hour })
 	r.term()
 	get(t, r.end) // by itself, once the time for late connections is over
 
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -23,8 +23,11 @@
 	// New connections come for up to 0.4 s after a planned restart was announced, and what is lost
 	// from 0.7 s on counts: the listener closes between the two.
 	acceptAfterTerm = 500 * time.Millisecond
-	// SIGKILL may follow from 3.7 s after the signal on. The module answers long before.
-	drainMost  = 3500 * time.Millisecond
+	// SIGKILL may follow this much after the longest deadline, which counts as killCap where it is longer.
+	// By drainSpare before that, all has its answer, and by half of it each connection is closed.
+	killAfter  = 700 * time.Millisecond
+	killCap    = 3 * time.Second
+	drainSpare = 150 * time.Millisecond
 	sweepEvery = time.Second
 	// Each time limit has 50 ms of slack. A timer that is later than a part of it tells that this process
 	// stood still, and what came meanwhile may still lie in the sockets.
@@ -84,6 +87,7 @@
 	input  budget // what clients and backends have sent and nobody has used up yet; of all goroutines
 
 	acceptFor time.Duration                        // how long after the signal new connections are taken
+	drainFor  time.Duration                        // and when all is answered at the latest
 	pause     func(time.Duration) <-chan time.Time // between questions to discovery
 	turn      func()                               // lets readers run
 	listener  *net.TCPListener
@@ -91,7 +95,9 @@
 	requests  map[string]*request
 	backends  backendSet
 	peers     *peerLink
-	leaving   bool // the listener is closed, connections close between requests
+	leaving   bool // connections close between requests
+	accepted  bool // the listener is closed, all that came there was accepted
+	stopped   bool // what comes now is refused at once
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
@@ -114,7 +120,7 @@
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
-		acceptFor: acceptAfterTerm, pause: time.After,
+		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After,
 		turn: func() { time.Sleep(readersTurn) }}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
@@ -166,7 +172,7 @@
 func (in *Ingress) loop(ctx context.Context) {
 	defer close(in.done)
 	term := ctx.Done()
-	for !in.leaving || in.clients.open() > 0 {
+	for !in.leaving || !in.accepted || in.clients.open() > 0 {
 		in.arm()
 		select {
 		case e := <-in.events:
@@ -178,6 +184,7 @@
 			term = nil
 			in.log.Info("draining")
 			in.after(in.acceptFor.Seconds(), in.leave)
+			in.after(in.drainFor.Seconds(), in.stop)
 		}
 	}
 }
@@ -211,12 +218,21 @@
 	do()
 }
 
-// leave ends the time in which new connections are taken.
+// leave ends the time in which new connections are taken. From here on all that is open has time until
+// stop: clients go on sending on connections that stay open.
 func (in *Ingress) leave() {
 	in.leaving = true
-	in.listener.Close()
+	in.listener.SetDeadline(time.Now())
 	in.clients.closeIdle(in)
-	in.after((drainMost - acceptAfterTerm).Seconds(), in.stop)
+}
+
+// drainMost is how long after the signal a drain may take.
+func drainMost(classes []policy.Class) time.Duration {
+	longest := 0.0
+	for _, c := range classes {
+		longest = max(longest, c.DeadlineS)
+	}
+	return min(time.Duration(longest*float64(time.Second)), killCap) + killAfter - drainSpare
 }
 
 // ---- Timers ----
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -40,6 +40,9 @@
 	switch {
 	case c.closed:
 		return
+	case in.stopped:
+		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+		return
 	case c.surplus && in.clients.full(in, c):
 		in.note("request refused: too many connections", "open", in.clients.open())
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
@@ -123,15 +126,24 @@
 	}
 }
 
-// stop ends a drain that takes too long: what is still owed fails while its client can hear of it.
+// stop ends a drain that takes too long: what is still owed fails while its client can hear of it. What comes
+// after that is refused at once, until its connection stands still for long enough to be closed.
 func (in *Ingress) stop() {
+	in.stopped = true
+	if !in.leaving {
+		in.leave()
+	}
 	for _, r := range in.requests {
 		if !r.over {
 			in.fail(r)
 			in.gate.Gone(in.now, r.ID)
 		}
 	}
-	for c := range in.clients.all {
-		in.closeClient(c)
-	}
+	in.clients.closeIdle(in)
+	in.after(drainSpare.Seconds()/2, func() {
+		for c := range in.clients.all {
+			in.closeClient(c)
+		}
+		in.accepted = true // else its place is taken, and SIGKILL comes
+	})
 }
