Tell a command as never written only once its writer has ended

Seen by reading expire: a command that the socket takes in parts is written on by a goroutine, which notes the end after the last byte. A time-out between the two ended as "could not connect", which proves that it never ran, and the module was free to send a class again that must not run twice.

Ruled out: the other ends. lost waits for the writer already; cancel and the client's leave count as may have run.

Now the connection is closed first, and the writer asked, who ends with it. TestTimeOutAsTheLastByteIsWritten holds the writer at that point each time, and got Status 4 (connect failed) without the change.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -115,7 +115,7 @@
 	case a.done:
 	case a.conn == nil:
 		in.finish(a, result{status: policy.Moot}, in.now)
-	case !a.conn.written.Load():
+	case in.cutOff(a.conn):
 		in.finish(a, result{status: policy.ConnectFailed}, in.now)
 	default:
 		in.finish(a, result{status: policy.Timeout}, in.now)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -839,9 +839,8 @@
 	}
 }
 
-// Guards the edge between the two ways in which a broken connection may end an attempt: a command of
-// which the socket took only a part has not run, and one that is written in the end is served.
-func TestCommandThatTheSocketTakesInParts(t *testing.T) {
+// smallSockets is a backend, and an ingress that sends to it, whose sockets hold a part of a large command.
+func smallSockets(t *testing.T, change func(*rig)) (net.Listener, *rig) {
 	small := func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
 	}
@@ -849,8 +848,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	r := start(t, testConfig(l.Addr().String()), func(r *rig) {
+	t.Cleanup(func() { l.Close() })
+	return l, start(t, testConfig(l.Addr().String()), func(r *rig) {
 		sendTo(0)(r)
 		dial := r.in.backends.dial
 		r.in.backends.dial = func(addr string) (net.Conn, error) {
@@ -860,7 +859,16 @@
 			}
 			return c, err
 		}
+		if change != nil {
+			change(r)
+		}
 	})
+}
+
+// Guards the edge between the two ways in which a broken connection may end an attempt: a command of
+// which the socket took only a part has not run, and one that is written in the end is served.
+func TestCommandThatTheSocketTakesInParts(t *testing.T) {
+	l, r := smallSockets(t, nil)
 	body := strings.Repeat("x", maxValue)
 	post := func(id string) *wire {
 		c := r.client()
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -48,10 +48,12 @@
 	idleS float64
 	copyS float64 // see there; never changes
 	dial  func(addr string) (net.Conn, error)
+	wrote func(*backConn) // between the last byte of a command that took long and the note of it
 }
 
 func (s *backendSet) init(cfg Config) {
 	s.byID = map[string]*backend{}
+	s.wrote = func(*backConn) {}
 	s.most = max(8, (cfg.Sockets-reservedFDs)*3/8)
 	s.copyS = copyS
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
@@ -320,7 +322,9 @@
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
 		go func() {
 			defer c.writing.Unlock()
-			if _, err := c.conn.Write(rest); err == nil {
+			_, err := c.conn.Write(rest)
+			in.backends.wrote(c)
+			if err == nil {
 				c.written.Store(true)
 			} else {
 				c.conn.Close() // its reader reports it
@@ -329,6 +333,18 @@
 	}
 }
 
+// cutOff tells that the command on the connection was never wholly written, and closes it then. While the
+// rest is being written nobody knows: it is closed first, and the writer asked, who ends with it.
+func (in *Ingress) cutOff(c *backConn) bool {
+	if c.written.Load() {
+		return false
+	}
+	in.closeConn(c)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return !c.written.Load()
+}
+
 func (in *Ingress) closeConn(c *backConn) {
 	if c.closed {
 		return
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"cometpond/policy"
 )
@@ -194,3 +196,28 @@
 		}
 	}
 }
+
+// Guards against a request that runs twice: one whose last byte was just written when its time was up, before
+// the loop knew, may have run and must not be told as one that never did.
+func TestTimeOutAsTheLastByteIsWritten(t *testing.T) {
+	l, r := smallSockets(t, func(r *rig) {
+		r.in.backends.wrote = func(c *backConn) { // all is written; nobody is told before the time-out
+			for end := time.Now().Add(patience); c.raw.Control(func(uintptr) {}) == nil && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	})
+	c := r.client()
+	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := newWire(t, b).command(); len(got) != 5 {
+		t.Fatalf("the backend got %q", got)
+	}
+	r.do(func() { r.in.expire(r.in.requests["a"].attempts[0]) })
+	if o := get(t, r.mod.outcomes); o.Status != policy.Timeout {
+		t.Errorf("got %+v", o)
+	}
+}
