Fit the messages between gateways to units and plans of any settings

Now the size of a unit on the wire follows from the settings (one for up to 48 units a request, as before), the head of a record tells 32 plans apart and one more byte 8,192, and a class past the 255th is not told of as a load report. The test of settings with too many plans asks for the new bound in place of 17.

Ruled out: any change where it is not needed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -99,7 +99,7 @@
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
 		classes: map[string]*class{}, byPlan: map[string]*plan{}, servers: map[string]*server{},
 		byHash: map[uint16]*server{}, reqs: map[string]*request{}, custs: map[uint32]*customer{},
-		peers: make([]peer, s.Gateways), workAt: now}
+		peers: make([]peer, s.Gateways), workAt: now, form: formOf(s)}
 	g.boot = uint8(g.rng.Uint32())
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
@@ -487,7 +487,7 @@
 	p, n := &g.peers[i], 0
 	b := g.header()
 	for _, c := range p.reports {
-		if len(b)+msgRecord > msgLimit {
+		if len(b)+g.form.size() > msgLimit {
 			break
 		}
 		if n++; c.askOf != i || !c.dirty {
@@ -503,7 +503,7 @@
 				r.First, r.Cheap = q.Units, q.cheap
 			}
 		}
-		b = appendRecord(b, r)
+		b = g.form.appendRecord(b, r)
 		if c.waitFrom == 0 || c.asked > 0 {
 			c.waitFrom = g.now
 		}
@@ -519,9 +519,9 @@
 	if len(b) == msgHeader {
 		return
 	}
-	b[msgCount] = byte((len(b) - msgHeader) / msgRecord)
+	b[msgCount] = byte((len(b) - msgHeader) / g.form.size())
 	for i := len(g.news) - 1; i >= max(0, len(g.news)-newsSent) && len(b)+msgItem <= msgLimit; i-- {
-		if n := g.news[i]; g.now-n.at < newsS {
+		if n := g.news[i]; g.now-n.at < newsS && n.class < loadByte {
 			b = appendItem(b, n, g.now)
 		}
 	}
@@ -664,7 +664,7 @@
 // Peer takes a message of another gateway. Reports are answered at once, all in one message.
 func (g *Gateway) Peer(now float64, from int, data []byte) {
 	g.clock(now)
-	boot, seq, recs, items, ok := parseMessage(data, now)
+	boot, seq, recs, items, ok := g.form.parse(data, now)
 	if !ok || from < 0 || from >= len(g.peers) || from == g.s.Me {
 		return
 	}
@@ -689,7 +689,7 @@
 				c = g.newCustomer(r.Key, g.plans[r.Plan])
 			}
 			c.usedAt = now
-			b = appendRecord(b, g.count(c, from, r))
+			b = g.form.appendRecord(b, g.count(c, from, r))
 		}
 	}
 	g.post(from, b)
@@ -713,7 +713,7 @@
 		m = &member{boot: g.peers[from].boot, total: r.Total - r.Unacked}
 		l.members[from] = m
 	}
-	l.room = max(l.room-l.told(m, r, g.now), min(l.room, 0))
+	l.room = max(l.room-l.told(m, r, g.now, g.form), min(l.room, 0))
 	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
 	if r.Want > 0 {
 		grant := 0.0
@@ -746,13 +746,13 @@
 
 // heard takes in what the owner says.
 func (g *Gateway) heard(c *customer, r record) {
-	most := c.total + quarters(r.Total-c.total)
+	most := c.total + g.form.quarters(r.Total-c.total)
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, most
 	c.others, c.othersOut = r.Rate, r.Out
 	if r.Want > 0 && c.asked > 0 {
 		n := min(c.asked, len(c.asks))
 		c.asked, c.tries, c.holdTill = 0, 0, g.now+r.Hold
-		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+1e-9 }, r.Flag)
+		g.resolve(c, n, func(q *request) bool { return c.total+q.Units <= most+g.form.slack() }, r.Flag)
 		if r.Hold > 0 {
 			g.resolve(c, len(c.asks), func(*request) bool { return false }, false)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -44,6 +44,9 @@
 	return list
 }
 
+// plain is the form that messages take with the tests' settings.
+var plain = form{grain: 1}
+
 func testSettings() Settings {
 	return Settings{
 		Me: 0, Gateways: 2, Zone: "a", MaxUnits: 4, PeerIntake: 40, Peers: true, Cancel: true, Parallel: true,
@@ -492,8 +495,12 @@
 
 // pair joins two gateways by a perfect wire.
 func pair(t *testing.T) (g [2]*Gateway, r [2]*recorder, pump func(now float64)) {
+	return pairOf(t, func(*Settings) {})
+}
+
+func pairOf(t *testing.T, change func(*Settings)) (g [2]*Gateway, r [2]*recorder, pump func(now float64)) {
 	for i := range 2 {
-		g[i], r[i] = gateway(t, func(s *Settings) { s.Me = i })
+		g[i], r[i] = gateway(t, func(s *Settings) { change(s); s.Me = i })
 	}
 	seen := [2]int{}
 	return g, r, func(now float64) {
@@ -600,13 +607,13 @@
 		t.Fatal("nothing was told")
 	}
 	last := tells[len(tells)-1]
-	_, _, recs, _, ok := parseMessage(last.data, 0)
+	_, _, recs, _, ok := plain.parse(last.data, 0)
 	if !ok || len(recs) == 0 {
 		t.Fatal("no report was told")
 	}
 	v := record{Key: recs[0].Key, Plan: recs[0].Plan, Owner: true, Known: true, Total: recs[0].Total, Want: recs[0].Want}
 	change(&v)
-	b := appendRecord(appendHeader(nil, 9, seq), v)
+	b := plain.appendRecord(appendHeader(nil, 9, seq), v)
 	b[msgCount] = 1
 	return last.to, b
 }
@@ -632,11 +639,11 @@
 	g, r := gateway(t, fleet(100))
 	granted := 0.0
 	for i := range 30 {
-		b := appendRecord(appendHeader(nil, 1, 1), record{Key: 77, Plan: 0, Want: 1, First: 1})
+		b := plain.appendRecord(appendHeader(nil, 1, 1), record{Key: 77, Plan: 0, Want: 1, First: 1})
 		b[msgCount] = 1
 		g.Peer(100, 1+i, b)
 		tells := r.of("tell", "")
-		_, _, recs, _, _ := parseMessage(tells[len(tells)-1].data, 100)
+		_, _, recs, _, _ := plain.parse(tells[len(tells)-1].data, 100)
 		if granted += recs[0].Total; i == 29 && recs[0].Hold == 0 {
 			t.Fatal("an owner asked thirty times at once did not tell its members to hold")
 		}
@@ -650,7 +657,7 @@
 func TestUnusedGrantIsGivenBack(t *testing.T) {
 	g, _ := gateway(t, fleet(100))
 	tell := func(seq uint16, r record) {
-		b := appendRecord(appendHeader(nil, 1, seq), r)
+		b := plain.appendRecord(appendHeader(nil, 1, seq), r)
 		b[msgCount] = 1
 		g.Peer(100, 1, b)
 	}
@@ -814,7 +821,7 @@
 	if u := b.servers["s1"].util; u < 0.59 || u > 0.61 {
 		t.Fatalf("use told is %v", u)
 	}
-	_, _, _, items, _ := parseMessage(rb.of("tell", "")[0].data, 100)
+	_, _, _, items, _ := plain.parse(rb.of("tell", "")[0].data, 100)
 	if len(items) != 2 {
 		t.Fatalf("%d news told on, want 2", len(items))
 	}
@@ -884,7 +891,7 @@
 func TestOddInputIsIgnored(t *testing.T) {
 	g, r := gateway(t, nil)
 	n := len(r.acts)
-	good := appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Plan: 15})
+	good := plain.appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Plan: 15})
 	for i := range good {
 		g.Peer(100, 1, good[:i])
 	}
@@ -908,7 +915,7 @@
 func TestInvalidSettings(t *testing.T) {
 	for want, change := range map[string]func(*Settings){
 		"gateways": func(s *Settings) { s.Gateways = 0 },
-		"16 at":    func(s *Settings) { s.Plans = make([]Plan, 17) },
+		"8192 at":  func(s *Settings) { s.Plans = make([]Plan, maxPlans+1) },
 		"me is":    func(s *Settings) { s.Me = 2 },
 		"classes":  func(s *Settings) { s.Classes = nil },
 		"deadline": func(s *Settings) { s.Classes[0].DeadlineS = 0 },
@@ -979,7 +986,7 @@
 // A young count believes the room that a member hands back, even where its window has just turned.
 func TestYoungCountTakesTheRoomHandedBack(t *testing.T) {
 	g, _ := gateway(t, nil)
-	b := appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
+	b := plain.appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Known: true, Total: 0, Room: 1})
 	b[msgCount] = 1
 	g.Peer(104, 1, b)
 	if room := g.ledger(g.custs[5]).room; room > 1 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -201,9 +201,6 @@
 	return max(l.demand, 0) * math.Exp((l.demandAt-now)/demandTauS)
 }
 
-// quarters rounds a difference of two counts, of which one has come over the wire.
-func quarters(x float64) float64 { return float64(int16(int64(math.Floor(x*4+0.5)))) / 4 }
-
 type peer struct {
 	missed  int     // reports without an answer since it was last heard
 	missAt  float64 // the last of them
@@ -219,6 +216,7 @@
 type Gateway struct {
 	s         Settings
 	act       Actions
+	form      form // of messages
 	rng       *rand.Rand
 	now       float64
 	born      float64
@@ -306,8 +304,8 @@
 		return fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
 	case len(s.Classes) == 0:
 		return fmt.Errorf("no classes given")
-	case len(s.Plans) > 16:
-		return fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
+	case len(s.Plans) > maxPlans:
+		return fmt.Errorf("%d plans given, %d at most", len(s.Plans), maxPlans)
 	}
 	for _, c := range s.Classes {
 		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
@@ -559,8 +557,8 @@
 }
 
 // told takes a member's report into the sums, and returns the units it is beyond what was known.
-func (l *ledger) told(m *member, r record, now float64) float64 {
-	delta := quarters(r.Total - m.total)
+func (l *ledger) told(m *member, r record, now float64, f form) float64 {
+	delta := f.quarters(r.Total - m.total)
 	l.demand = l.demandNow(now) + r.Rate - m.rate*math.Exp((m.at-now)/demandTauS)
 	l.demandAt = now
 	*m = member{boot: m.boot, total: r.Total, rate: r.Rate, out: r.Out, at: now}
