--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -192,3 +192,53 @@
 		t.Errorf("the module got %s", got)
 	}
 }
+
+// Guards against a new configuration that waits for what is under way at the old address: a pause between
+// questions, a whole list that hangs, or a watch.
+func TestNewAddressIsAskedAtOnce(t *testing.T) {
+	for _, during := range []string{"a pause", "a question", "a whole list", "a watch"} {
+		t.Run(during, func(t *testing.T) {
+			old, asked := manualAgent(t)
+			addr, next := manualAgent(t)
+			cfg, pausing := testConfig(), make(chan struct{}, 1)
+			if cfg.Discovery = old; during == "a pause" {
+				cfg.Discovery = "127.0.0.1:2" // refuses
+			}
+			r := start(t, cfg, func(r *rig) {
+				r.in.pause = func(d time.Duration) <-chan time.Time {
+					if pausing <- struct{}{}; during != "a pause" {
+						return time.After(d)
+					}
+					return nil // for good
+				}
+			})
+			r.ids() // the known list
+			switch during {
+			case "a pause":
+				get(t, pausing)
+			case "a question":
+				get(t, asked)
+			case "a whole list":
+				a := get(t, asked)
+				a.tell("nonsense ")
+				if a = get(t, asked); a.query != "/api/targets" {
+					t.Fatalf("asked %q", a.query)
+				}
+				a.tell(`{"version":9,`)
+			case "a watch":
+				get(t, asked).tell(listed(9, true, "x", "in_service"))
+				r.ids()
+			}
+			cfg.Discovery = addr
+			r.reread <- cfg
+			a := get(t, next)
+			if a.query != "/api/targets" {
+				t.Errorf("the new address was asked %q", a.query)
+			}
+			a.tell(listed(2, true, "y", "in_service"))
+			if got := fmt.Sprint(r.ids()); got != "[y 0]" {
+				t.Errorf("the module got %s", got)
+			}
+		})
+	}
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -31,6 +31,7 @@
 // it is told.
 type module struct {
 	onRequest func(policy.Request)
+	onOutcome func(policy.Outcome)
 	requests  chan policy.Request
 	outcomes  chan policy.Outcome
 	gone      chan string
@@ -56,7 +57,12 @@
 		m.onRequest(q)
 	}
 }
-func (m *module) Outcome(_ float64, o policy.Outcome)                 { m.outcomes <- o }
+func (m *module) Outcome(_ float64, o policy.Outcome) {
+	m.outcomes <- o
+	if m.onOutcome != nil {
+		m.onOutcome(o)
+	}
+}
 func (m *module) Gone(_ float64, id string)                           { m.gone <- id }
 func (m *module) Servers(_ float64, list []policy.Server, whole bool) { m.lists <- list }
 func (m *module) Timer(float64, uint64)                               {}
@@ -562,6 +568,32 @@
 	}
 }
 
+// Guards against the same where the module fails on an outcome: what it owes then is answered at its deadline.
+func TestModuleThatFailsOnAnOutcome(t *testing.T) {
+	addr, conns := listen(t)
+	r := start(t, testConfig(addr), func(r *rig) {
+		sendTo(0)(r)
+		r.mod.onOutcome = func(policy.Outcome) { panic("broken") }
+	})
+	c := r.client()
+	c.send("CALL.GET", customer, "a", "c=look,t=basic,d=200,units=2,spread=2,first=1")
+	b := get(t, conns)
+	b.command()
+	io.WriteString(b, "-ERR failed\r\n")
+	get(t, r.mod.outcomes)
+	if got := c.line(); got != "-ERR failed" {
+		t.Errorf("got %q", got)
+	}
+	if id := get(t, r.mod.gone); id != "a" {
+		t.Errorf("gone: %q", id)
+	}
+	r.do(func() {
+		if len(r.in.requests) != 0 {
+			t.Errorf("%d requests are kept", len(r.in.requests))
+		}
+	})
+}
+
 // Guards against requests lost at a planned restart: connections that still come are taken, and what
 // was taken is answered before the process ends.
 func TestTermDrains(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -3,7 +3,7 @@
 // This is the decision module; its interface is in api.go. Every customer is hashed on a ring of
 // gateways to one owner, which alone keeps its window count against the whole quota. The others tell
 // the owner their counts in batches, pass only their split of the room it last reported, and fall back
-// to a local window when it is silent (docs/design.md tells what was kept and changed).
+// to a local window when it is silent (README.md tells what was kept and changed).
 
 import (
 	"cmp"
