--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -243,14 +243,15 @@
 // what a value of the stream may take.
 type listReader struct {
 	from    io.Reader
-	silence *time.Timer
+	silence *time.Timer   // ends the answer
+	most    time.Duration // after so much of it
 	left    int
 }
 
 func (r *listReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
 	if n > 0 {
-		r.silence.Reset(watchSilence)
+		r.silence.Reset(r.most)
 	}
 	if r.left -= n; r.left < 0 {
 		return 0, errListTooLong
@@ -304,9 +305,9 @@
 		return err
 	}
 	defer body.Close()
-	silence := time.AfterFunc(watchSilence, cancel)
+	silence := time.AfterFunc(w.in.silence, cancel)
 	defer silence.Stop()
-	r := &listReader{body, silence, maxListValue}
+	r := &listReader{body, silence, w.in.silence, maxListValue}
 	return use(json.NewDecoder(r), r)
 }
 
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -103,6 +103,31 @@
 	}
 }
 
+// Guards against a watch that has fallen silent: it is broken, and opened anew from where it stood. So is a
+// whole list that breaks off.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	addr, asked := manualAgent(t)
+	r := discovering(t, addr, func(r *rig) { r.in.silence = 200 * time.Millisecond })
+	for version := range 3 {
+		a := get(t, asked)
+		if want := fmt.Sprintf("/api/targets?watch=1&after=%d", version+4); a.query != want {
+			t.Fatalf("asked %q, want %q", a.query, want)
+		}
+		a.tell(listed(version+5, false, "x", "in_service"))
+		r.ids()
+		get(t, a.left) // though the test never ends it
+	}
+	get(t, asked).tell("nonsense ")
+	for range 2 {
+		a := get(t, asked)
+		if a.query != "/api/targets" {
+			t.Fatalf("asked %q", a.query)
+		}
+		a.tell(`{"version":9,`)
+		get(t, a.left)
+	}
+}
+
 // Guards against a watch that is opened later and later: watches that end while the list is quiet, and an
 // agent that refuses for long, must not put the next question off beyond the grace for draining backends.
 func TestQuietWatchesThatEndAreOpenedAgainSoon(t *testing.T) {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -89,6 +89,7 @@
 	acceptFor time.Duration                        // how long after the signal new connections are taken
 	drainFor  time.Duration                        // and when all is answered at the latest
 	pause     func(time.Duration) <-chan time.Time // between questions to discovery
+	silence   time.Duration                        // of discovery, that tells that an answer has broken off
 	turn      func()                               // lets readers run
 	listener  *net.TCPListener
 	clients   clientSet
@@ -120,7 +121,7 @@
 func open(cfg Config, log *slog.Logger) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
-		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After,
+		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After, silence: watchSilence,
 		turn: func() { time.Sleep(readersTurn) }}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
