Look for the client also when a request lay unread while the process stood still

Seen in the review: a command that lay in the socket during a standstill is read as if it had just come, and its client's hang-up behind it. An overdue timer, of which the module has one each 20 ms, tells of the standstill; then also a first and fresh send looks at its client. The new case of TestNothingIsSentForAClientThatHasLeft fails without it, for FIN and RST.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -69,7 +69,7 @@
 
 // overtaken tells that what would make a send of the request needless or wrong has come, though the loop
 // has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left while
-// the request waited. A fresh request has neither.
+// the request waited. A fresh request has neither, unless it lay in the socket of a process that stood still.
 func (in *Ingress) overtaken(r *request) bool {
 	first := len(r.attempts) == 1
 	for _, a := range r.attempts {
@@ -77,7 +77,8 @@
 			return true
 		}
 	}
-	return (!first || r.waited || in.clock.now()-r.readAt > lateS) && in.hungUp(r.client)
+	now := in.clock.now()
+	return (!first || r.waited || now-r.readAt > lateS || in.stoodStill(now)) && in.hungUp(r.client)
 }
 
 // hungUp tells that the client has closed its connection, and takes its leave then, once the module's
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -302,7 +302,7 @@
 // would be sent beside the answer, or an attempt timed out that is done.
 func (in *Ingress) fire() {
 	now := in.clock.now()
-	if len(in.timers) > 0 && now-in.timers[0].at > lateS {
+	if in.stoodStill(now) {
 		for n := range readersTurns {
 			if in.turn(); len(in.events) == 0 && n > 0 {
 				break
@@ -319,6 +319,11 @@
 	}
 }
 
+// stoodStill tells by an overdue timer that this process did.
+func (in *Ingress) stoodStill(now float64) bool {
+	return len(in.timers) > 0 && now-in.timers[0].at > lateS
+}
+
 // takeIn handles what is in the queue by now.
 func (in *Ingress) takeIn() {
 	for range len(in.events) {
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -198,6 +198,20 @@
 			})
 			nothing(t, r, conns, "a")
 		})
+		t.Run("in the socket of a process that stood still, "+how, func(t *testing.T) {
+			addr, conns := listen(t)
+			r := start(t, testConfig(addr), nil)
+			c := r.client()
+			c.send(look("a")...)
+			get(t, r.mod.requests)
+			left := gone(r, "a")
+			r.still(func() { c.leave(how) }, left, func() {
+				r.in.requests["a"].readAt = r.in.clock.now() // it was only read now
+				r.in.after(-1, func() {})
+				r.in.Send("a", "s0", 0)
+			})
+			nothing(t, r, conns, "a")
+		})
 		t.Run("between tries, "+how, func(t *testing.T) {
 			addr, conns := listen(t)
 			r := start(t, testConfig(addr), sendTo(0))
