Bind further attempts of keyed work to the end of its key's window

Ruled out: another group (both servers are of one cell), a first attempt counted from too late (it counts from the decision, before its own dial), a copied answer (no answer had come on either connection), a server that was replaced (started=0 on both), a late loop (the dial's event was handled at once).

Design: the end of the window goes with the attempt. The module gives it with Send (wholeS); the socket side looks at the clock, not at the loop's time, right before the first byte, and what a slow backend has not taken by then is cut off before its last byte. So the same holds for a loop that is behind, and for long commands.

--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -45,7 +45,13 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryShare))
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("ingress", cfg.Name)
+	level := slog.LevelInfo
+	if text := os.Getenv("EDGE_LOG"); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return fmt.Errorf("EDGE_LOG: %w", err)
+		}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("ingress", cfg.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reread := make(chan ingress.Config)
--- a/cmd/eiderspread/main_test.go
+++ b/cmd/eiderspread/main_test.go
@@ -229,3 +229,18 @@
 		t.Error("the program did not end after SIGTERM")
 	}
 }
+
+// Guards against a level of the log that is taken for another one.
+func TestUnknownLogLevelIsOneLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"balancers":1,` +
+		`"limits":{"dialTimeoutS":0.25,"connIdleS":15}}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("EDGE_CONFIG", path)
+	t.Setenv("EDGE_LOG", "loud")
+	if err := run(); err == nil || !strings.HasPrefix(err.Error(), "EDGE_LOG: ") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("got %v, want one line that names EDGE_LOG", err)
+	}
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -35,7 +35,7 @@
 	i int
 }
 
-func (a actions) Send(id, server string, timeoutS float64) {
+func (a actions) Send(id, server string, timeoutS, _ float64) {
 	l := a.w.Begin("FORWARD", a.i).ID("id", id).ID("backend", server)
 	if timeoutS != 0 {
 		l.Num("withinS", timeoutS)
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math"
 	"slices"
 
 	"github.com/tidwall/redcon"
@@ -17,22 +18,27 @@
 	number int
 	sentAt float64
 	until  float64 // when the ingress stops waiting
+	whole  float64 // when the last byte must be out, by the clock and not by the loop's time; +Inf: at any time
 	timer  *timer  // rings then
 	conn   *backConn
 	done   bool
 }
 
 // Send implements policy.Actions.
-func (in *Ingress) Send(id, server string, timeoutS float64) {
+func (in *Ingress) Send(id, server string, timeoutS, wholeS float64) {
 	r := in.requests[id]
 	if r == nil {
 		in.note("send for a request that is not open", "id", id)
 		return
 	}
-	a := &attempt{req: r, be: in.backends.byID[server], number: len(r.attempts), sentAt: in.now, until: r.deadline}
+	a := &attempt{req: r, be: in.backends.byID[server], number: len(r.attempts), sentAt: in.now, until: r.deadline,
+		whole: math.Inf(1)}
 	if timeoutS != 0 {
 		a.until = min(a.until, in.now+timeoutS)
 	}
+	if wholeS != 0 {
+		a.whole = in.now + wholeS
+	}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	switch {
@@ -54,7 +60,7 @@
 
 // Probe implements policy.Actions.
 func (in *Ingress) Probe(server string) {
-	a := &attempt{be: in.backends.byID[server], sentAt: in.now, until: in.now + probeS}
+	a := &attempt{be: in.backends.byID[server], sentAt: in.now, until: in.now + probeS, whole: math.Inf(1)}
 	if a.be == nil {
 		in.note("probe of a backend that is not listed", "id", server)
 		return
@@ -154,6 +160,7 @@
 // report answers the client, if this is what it waits for, and tells the module.
 func (in *Ingress) report(a *attempt, res result, at float64) {
 	spent := max(at-a.sentAt, 0)
+	in.traceEnded(a, res, at)
 	if a.req == nil {
 		in.gate.Probed(in.now, policy.ProbeResult{Server: a.be.ID, Status: res.status, SpentS: spent, Load: res.load})
 		return
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -502,6 +502,7 @@
 	in.closeClient(c)
 	for _, s := range slots {
 		if s.req != nil && !s.req.over {
+			in.traceGone(s.req)
 			in.end(s.req)
 			in.gate.Gone(in.now, s.req.ID)
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -253,7 +253,7 @@
 
 // sendTo has the module send each request to s0.
 func sendTo(timeoutS float64) func(*rig) {
-	return func(r *rig) { r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", timeoutS) } }
+	return func(r *rig) { r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", timeoutS, 0) } }
 }
 
 // Guards against a changed command or value: all goes through byte for byte but d, which tells what
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -50,6 +50,11 @@
 
 func (c clock) now() float64 { return c.unix + time.Since(c.base).Seconds() }
 
+// at is the time that the clock shows so many seconds at.
+func (c clock) at(now float64) time.Time {
+	return c.base.Add(time.Duration((now - c.unix) * float64(time.Second)))
+}
+
 // event is something that happened outside the loop, with the time at which it did.
 type event struct {
 	at float64
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -136,7 +136,7 @@
 			if where == "socket" {
 				come = func() bool { return !silent(r.in.requests["a"].attempts[0].conn.raw) }
 			}
-			r.still(func() { io.WriteString(b, value) }, come, func() { r.in.Send("a", "s0", 0) })
+			r.still(func() { io.WriteString(b, value) }, come, func() { r.in.Send("a", "s0", 0, 0) })
 			for {
 				o := get(t, r.mod.outcomes)
 				if o.Attempt == 0 {
@@ -194,7 +194,7 @@
 			left := gone(r, "a")
 			r.still(func() { c.leave(how) }, left, func() {
 				r.in.requests["a"].readAt -= 1
-				r.in.Send("a", "s0", 0)
+				r.in.Send("a", "s0", 0, 0)
 			})
 			nothing(t, r, conns, "a")
 		})
@@ -208,7 +208,7 @@
 			r.still(func() { c.leave(how) }, left, func() {
 				r.in.requests["a"].readAt = r.in.clock.now() // it was only read now
 				r.in.after(-1, func() {})
-				r.in.Send("a", "s0", 0)
+				r.in.Send("a", "s0", 0, 0)
 			})
 			nothing(t, r, conns, "a")
 		})
@@ -224,7 +224,7 @@
 			get(t, r.mod.outcomes)
 			r.still(func() { c.leave(how) }, left, func() {
 				r.in.takeList(targets{Full: true, Servers: []target{{ID: "s0", Addr: addr, State: "in_service", StartedMS: 1}}})
-				r.in.Send("a", "s0", 0)
+				r.in.Send("a", "s0", 0, 0)
 			})
 			nothing(t, r, conns, "a")
 		})
@@ -293,7 +293,7 @@
 				get(t, r.mod.requests)
 			}
 			left := gone(r, "r0")
-			r.do(func() { r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", 0) } })
+			r.do(func() { r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", 0, 0) } })
 			if how == "reset" {
 				c.leave(how)
 			} else { // what was sent before a FIN stays readable
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"hash/maphash"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -301,8 +302,15 @@
 }
 
 // write sends the command: at once what the socket takes, the rest on a goroutine of its own, which
-// ends with the connection.
+// ends with the connection. The last byte of an attempt goes out in its time or never: the loop's time is
+// that of what it handles, and may be well behind the clock; a dial and a backend that reads slowly take
+// time as well.
 func (in *Ingress) write(c *backConn, a *attempt) {
+	if in.clock.now() >= a.whole {
+		in.release(c)
+		in.later(a, policy.Moot)
+		return
+	}
 	in.bytes = in.command(in.bytes[:0], a)
 	b := in.bytes
 	if cap(in.bytes) > 4*readSize {
@@ -311,21 +319,28 @@
 	a.conn, c.attempt = c, a
 	c.written.Store(false)
 	c.busy.Store(true)
+	from := in.clock.now()
 	n, err := tryWrite(c.raw, b)
 	switch {
 	case err != nil:
 		in.later(a, policy.ConnectFailed)
 	case n == len(b):
 		c.written.Store(true)
+		in.traceSent(a, c.at, from, in.clock.now())
 	default:
 		rest := bytes.Clone(b[n:])
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
+		if !math.IsInf(a.whole, 1) {
+			c.conn.SetWriteDeadline(in.clock.at(a.whole))
+		}
 		go func() {
 			defer c.writing.Unlock()
 			_, err := c.conn.Write(rest)
 			in.backends.wrote(c)
 			if err == nil {
+				c.conn.SetWriteDeadline(time.Time{})
 				c.written.Store(true)
+				in.traceSent(a, c.at, from, in.clock.now())
 			} else {
 				c.conn.Close() // its reader reports it
 			}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -107,6 +107,7 @@
 		return
 	}
 	r.slot.answer = answer
+	in.traceAnswer(r, answer)
 	in.end(r)
 	in.flush(r.client)
 }
--- /dev/null
+++ b/internal/ingress/trace.go
@@ -0,0 +1,71 @@
+package ingress
+
+import (
+	"context"
+	"log/slog"
+
+	"cometpond/policy"
+)
+
+// The trace: with a log at debug level each request's way can be followed by its id, through every
+// ingress that it came to. cmd/audit reads it.
+
+var effectNames = map[policy.Effect]string{policy.Safe: "safe", policy.Keyed: "keyed", policy.Unsafe: "unsafe"}
+
+var scopeNames = map[policy.Scope]string{policy.ScopeAll: "all", policy.ScopeZone: "zone", policy.ScopeCell: "cell"}
+
+var statusNames = map[policy.Status]string{policy.OK: "ok", policy.Error: "error", policy.Full: "full",
+	policy.Timeout: "timeout", policy.ConnectFailed: "connect_failed", policy.Reset: "reset",
+	policy.Cancelled: "cancelled", policy.Moot: "moot"}
+
+// tracing tells whether anybody reads a trace. It never changes.
+func (in *Ingress) tracing() bool { return in.log.Enabled(context.Background(), slog.LevelDebug) }
+
+// traceSent tells that the last byte of an attempt was written. Safe for any goroutine that the attempt
+// was handed to: what it reads does not change any more.
+func (in *Ingress) traceSent(a *attempt, to target, from, at float64) {
+	if !in.tracing() || a.req == nil {
+		return
+	}
+	class := in.class(a.req)
+	in.log.Debug("sent", "id", a.req.ID, "try", a.number, "class", class.Name, "effect", effectNames[class.Effect],
+		"scope", scopeNames[class.KeyScope], "ttl", class.KeyTTLS, "backend", to.ID, "zone", to.Zone, "cell", to.Cell,
+		"started", float64(to.StartedMS)/1000, "read", a.req.readAt, "from", from, "at", at,
+		"left", closedByPeer(a.req.client.raw))
+}
+
+// traceEnded tells how an attempt ended.
+func (in *Ingress) traceEnded(a *attempt, res result, at float64) {
+	if in.tracing() && a.req != nil {
+		in.log.Debug("ended", "id", a.req.ID, "try", a.number, "status", statusNames[res.status], "at", at,
+			"spoilt", res.spoilt)
+	}
+}
+
+// traceAnswer tells a request's final answer, by its first word.
+func (in *Ingress) traceAnswer(r *request, answer []byte) {
+	if in.tracing() {
+		word := "value"
+		if len(answer) > 4 && answer[0] == '-' {
+			word = string(answer[1:4])
+		}
+		in.log.Debug("answered", "id", r.ID, "word", word, "at", in.clock.now())
+	}
+}
+
+// traceGone tells that a request's client was found to have left.
+func (in *Ingress) traceGone(r *request) {
+	if in.tracing() {
+		in.log.Debug("gone", "id", r.ID, "at", in.clock.now())
+	}
+}
+
+// class is that of a request, as the settings have it.
+func (in *Ingress) class(r *request) policy.Class {
+	for _, c := range in.cfg.Settings.Classes {
+		if c.Name == r.Class {
+			return c
+		}
+	}
+	return policy.Class{}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -151,9 +151,10 @@
 // Actions is what a Gateway asks of its ingress. Calls happen only while one of
 // the Gateway's event methods runs, and in the order in which they are to take effect.
 type Actions interface {
-	Send(id, server string, timeoutS float64) // starts the request's next attempt
-	Refuse(id string, retryInS float64)       // final answer: trying again is harmless
-	Fail(id string)                           // final answer: promises nothing
+	// Send starts the request's next attempt. Its last byte goes out within wholeS or never; 0: at any time.
+	Send(id, server string, timeoutS, wholeS float64)
+	Refuse(id string, retryInS float64) // final answer: trying again is harmless
+	Fail(id string)                     // final answer: promises nothing
 	Cancel(id string, attempt int)
 	SetTimer(token uint64, delayS float64)
 	Probe(server string)
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -13,7 +13,7 @@
 	sent []string
 }
 
-func (in *ingress) Send(id, server string, timeoutS float64) {
+func (in *ingress) Send(id, server string, timeoutS, _ float64) {
 	in.sent = append(in.sent, server)
 	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -223,7 +223,11 @@
 	if g.coldShare(s) < 1 {
 		s.sentLog = append(s.sentLog, sentWork{g.now, r.cls.lat})
 	}
-	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
+	whole := 0.0
+	if r.ran != nil && r.cls.Effect == Keyed {
+		whole = max(r.windowEnd()-g.now, guardS) // what is sent once a dial is up must keep the window too
+	}
+	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS), whole)
 }
 
 // refuse ends the request with the mildest answer that is true.
@@ -284,9 +288,12 @@
 		!r.written && g.now > r.halfAt {
 		return false
 	}
-	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
+	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.windowEnd()
 }
 
+// windowEnd is when the servers that may have run a keyed request cease to drop its repeats.
+func (r *request) windowEnd() float64 { return r.ranAt + r.cls.KeyTTLS - lagS }
+
 // drain sends what waits, dearest per work first, and drops what can't make its aim.
 func (g *Gateway) drain() {
 	if len(g.queue) == 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -10,15 +10,15 @@
 type out struct {
 	kind, id, server string
 	to, attempt      int
-	x                float64
+	x, whole         float64
 	data             []byte
 }
 
 // recorder keeps the actions of one gateway.
 type recorder struct{ acts []out }
 
-func (r *recorder) Send(id, s string, t float64) {
-	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t})
+func (r *recorder) Send(id, s string, t, whole float64) {
+	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t, whole: whole})
 }
 func (r *recorder) Refuse(id string, x float64) {
 	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
