Take no copied refusal or error for the answer to the next command

Found by reading, proved by TestCopyBehindTheNextCommand: the search for a copied answer looked at good values alone, and at the one before. A second -BUSY that came behind the next command was taken for that command's answer: turned away, so never run, and what may run only once was sent again while it ran. A second -ERR left the connection one answer behind.

Now any answer with the bytes of one that came within 0.1 s before its command was begun, and a second word in that time that work was turned away, end the attempt as one that may have run, and the connection with it. The time counts from the writing of the command, so a reader that is late changes nothing; eight answers are kept, since a copy may come behind another answer.

--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -22,8 +22,10 @@
 	// A second copy of an answer comes right behind it. What has rested for so long is taken first, so
 	// that the copy is seen before the next command goes out.
 	restS = 0.005
-	// An answer with the same bytes as the one before it on its connection, no later than this, is taken
-	// for its copy. Values of requests differ, as do the load reports beside them.
+	// A copy of an answer comes right behind it, or some milliseconds later: on a connection whose command
+	// was written within this of an answer, the same bytes once more are taken for that one's copy. Values of
+	// requests differ, as do the load reports beside them; equal errors may be two answers, and then one is
+	// given up needlessly, with its connection.
 	copyS = 0.1
 )
 
@@ -142,10 +144,11 @@
 	at      target // as the backend stood when it was dialled
 	conn    *net.TCPConn
 	raw     syscall.RawConn
-	busy    atomic.Bool // a reply is expected
-	dead    atomic.Bool // not to be used again
-	written atomic.Bool // the whole of the attempt's command
-	writing sync.Mutex  // held while a write that the loop does not wait for goes on
+	busy    atomic.Bool   // a reply is expected
+	dead    atomic.Bool   // not to be used again
+	written atomic.Bool   // the whole of the attempt's command
+	began   atomic.Uint64 // when the writing of its command did, as the bits of a float
+	writing sync.Mutex    // held while a write that the loop does not wait for goes on
 
 	// Loop only.
 	attempt *attempt
@@ -320,6 +323,7 @@
 	c.written.Store(false)
 	c.busy.Store(true)
 	from := in.clock.now()
+	c.began.Store(math.Float64bits(from))
 	n, err := tryWrite(c.raw, b)
 	switch {
 	case err != nil:
@@ -375,10 +379,7 @@
 func (c *backConn) read(in *Ingress) {
 	buf := buffer{budget: &in.input}
 	defer buf.free()
-	var last struct {
-		hash uint64
-		at   float64
-	}
+	var past answers
 	for {
 		room := buf.room()
 		if room == nil {
@@ -407,12 +408,11 @@
 				break
 			}
 			// Bytes of a copy that were on their way when the next command was written are told by this.
-			hash := maphash.Bytes(hashSeed, buf.b[:size])
-			if res.status == policy.OK && hash == last.hash && at-last.at < in.backends.copyS {
+			if past.copied(buf.b[:size], res.status, math.Float64frombits(c.began.Load())-in.backends.copyS) {
 				c.spoilt(in, at, buf.b, errCopy)
 				break
 			}
-			last.hash, last.at = hash, at
+			past.add(buf.b[:size], res.status, at)
 			stray := len(buf.b) > size
 			buf.drop(len(buf.b))
 			if stray {
@@ -436,6 +436,36 @@
 	in.post(at, func() { in.lost(c, at) })
 }
 
+// answers are the last ones of a connection, by which a copy of one is known.
+type answers []answered
+
+type answered struct {
+	hash   uint64
+	status policy.Status
+	at     float64
+}
+
+const answersKept = 8 // a copy of an older one has come long before
+
+// copied tells that an answer may be a copy of one that came after a time. A word that work was turned away
+// is trusted least: what was told of the command before must not be taken for this one's, which may run.
+func (a answers) copied(b []byte, status policy.Status, since float64) bool {
+	hash := maphash.Bytes(hashSeed, b)
+	for _, e := range a {
+		if e.at > since && (e.hash == hash || status == policy.Full && e.status == status) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *answers) add(b []byte, status policy.Status, at float64) {
+	if len(*a) == answersKept {
+		*a = (*a)[1:]
+	}
+	*a = append(*a, answered{maphash.Bytes(hashSeed, b), status, at})
+}
+
 // spoilt ends the connection's attempt for what came in place of an answer.
 func (c *backConn) spoilt(in *Ingress, at float64, got []byte, why error) {
 	c.dead.Store(true)
