Keep repeats to the group that may have run the work, and out of sight of its answer

Found by reading, each proved by a test that fails without its part:

- A list may change zone or cell of a server that may have run a request: the module looked at where it stands now.
Both count: where it stood as it was sent there, and where it stands (TestAListThatChangesGroupsMovesNoRepeat).
The same for a server that changes while a send waits for a dial to it (TestNoSendFromADialToAnotherGroup).
- A send from a dial looked at the client alone, not at an answer of another attempt that had come (TestNoSendFromADialBesideAnAnswerThatHasCome).
- Beside it: a dial whose backend has been replaced counted against the backend, as the connection was closed before it was looked at.

TestNothingRunsTwiceWhateverHappens plays 400 random ways of a request through all scopes and windows from 20 ms on, with sends that are written up to half a second late and lists that move servers.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -77,14 +77,19 @@
 // has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left while
 // the request waited. A fresh request has neither, unless it lay in the socket of a process that stood still.
 func (in *Ingress) overtaken(r *request) bool {
-	first := len(r.attempts) == 1
-	for _, a := range r.attempts {
-		if c := a.conn; c != nil && !a.done && (c.dead.Load() || !c.busy.Load() || !silent(c.raw)) {
-			return true
-		}
+	if in.answerWaits(r) {
+		return true
 	}
 	now := in.clock.now()
-	return (!first || r.waited || now-r.readAt > lateS || in.stoodStill(now)) && in.hungUp(r.client)
+	return (len(r.attempts) > 1 || r.waited || now-r.readAt > lateS || in.stoodStill(now)) && in.hungUp(r.client)
+}
+
+// answerWaits tells that an attempt of the request has ended, though the loop has not heard of it.
+func (in *Ingress) answerWaits(r *request) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		c := a.conn
+		return c != nil && !a.done && (c.dead.Load() || !c.busy.Load() || !silent(c.raw))
+	})
 }
 
 // hungUp tells that the client has closed its connection, and takes its leave then, once the module's
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -154,6 +154,44 @@
 	}
 }
 
+// Guards against the same where the copy waited for a dial when the answer came.
+func TestNoSendFromADialBesideAnAnswerThatHasCome(t *testing.T) {
+	addr, conns := listen(t)
+	other, others := listen(t)
+	free := make(chan struct{})
+	r := start(t, testConfig(addr, other), func(r *rig) {
+		sendTo(0)(r)
+		dial := r.in.backends.dial
+		r.in.backends.dial = func(to string) (net.Conn, error) {
+			if to == other {
+				<-free
+			}
+			return dial(to)
+		}
+	})
+	c := r.client()
+	c.send(look("a")...)
+	b := get(t, conns)
+	b.command()
+	var first *attempt
+	r.do(func() {
+		first = r.in.requests["a"].attempts[0]
+		r.in.Send("a", "s1", 0, 0)
+	})
+	first.conn.writing.Lock() // its reader tells of the end once it has this
+	b.Close()
+	r.until("the reader stands", first.conn.dead.Load)
+	close(free)
+	if o := get(t, r.mod.outcomes); o.Attempt != 1 || o.Status != policy.Moot {
+		t.Errorf("got %+v", o)
+	}
+	first.conn.writing.Unlock()
+	r.do(func() { r.in.takeList(targets{Full: true}) }) // closes the pool
+	if got := get(t, others).command(); got != nil {
+		t.Errorf("the copy was sent: %q", got)
+	}
+}
+
 // leave ends a client's connection, with a FIN or with a reset.
 func (w *wire) leave(how string) {
 	if how == "reset" {
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -254,10 +254,10 @@
 		if in.usable(c) {
 			in.give(c)
 		} else {
-			in.closeConn(c)
 			if !c.dead.Load() || c.at.Addr != be.Addr {
-				failed = policy.Moot
+				failed = policy.Moot // the backend is another one by now: it tells nothing of that
 			}
+			in.closeConn(c)
 		}
 	}
 	for len(be.waiting) > be.dials {
@@ -270,10 +270,10 @@
 }
 
 // usable tells that the connection may carry another command: its backend still stands where it was
-// dialled and may be sent to.
+// dialled, in the group for which the module chose it, and may be sent to.
 func (in *Ingress) usable(c *backConn) bool {
 	return !c.closed && !c.dead.Load() && c.be.state == policy.Up && c.at.Addr == c.be.Addr &&
-		c.at.StartedMS == c.be.StartedMS
+		c.at.StartedMS == c.be.StartedMS && c.at.Zone == c.be.Zone && c.at.Cell == c.be.Cell
 }
 
 // give puts a connection to use for what waits, else into the pool.
@@ -282,7 +282,7 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) || a.req != nil && in.hungUp(a.req.client) {
+		if in.unsendable(a) || a.req != nil && (in.answerWaits(a.req) || in.hungUp(a.req.client)) {
 			in.later(a, policy.Moot)
 			continue
 		}
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -167,6 +167,42 @@
 	}
 }
 
+// Guards against a repeat that reaches another group than the one for which it was chosen: a list changes
+// the group of its backend while it waits for a dial.
+func TestNoSendFromADialToAnotherGroup(t *testing.T) {
+	for name, change := range map[string]func(*target){
+		"zone": func(e *target) { e.Zone = "b" },
+		"cell": func(e *target) { e.Cell = 7 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := listen(t)
+			free := make(chan struct{})
+			r := start(t, testConfig(addr), func(r *rig) {
+				sendTo(0)(r)
+				dial := r.in.backends.dial
+				r.in.backends.dial = func(addr string) (net.Conn, error) {
+					<-free
+					return dial(addr)
+				}
+			})
+			r.client().send(look("a")...)
+			get(t, r.mod.requests)
+			r.do(func() {
+				e := r.in.backends.byID["s0"].target
+				change(&e)
+				r.in.takeList(targets{Servers: []target{e}})
+			})
+			close(free)
+			if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+				t.Errorf("got %+v", o)
+			}
+			if got := get(t, conns).command(); got != nil {
+				t.Errorf("the backend got %q", got)
+			}
+		})
+	}
+}
+
 // Guards against a backend taken for down, and a request for failed, where a dial fails while another
 // connection has become free.
 func TestFailedDialLeavesTheFreeConnection(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -263,8 +263,8 @@
 	g.report(a.srv, o.Load)
 	g.learn(r, a, o)
 	r.written = r.written || o.Status != ConnectFailed && o.Status != Moot
-	if never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot; !never && r.ran == nil {
-		r.ran, r.ranAt = a.srv, a.sentAt
+	if o.Status != Full && o.Status != ConnectFailed && o.Status != Moot {
+		r.mayHaveRun(a)
 	}
 	if o.Status == OK && g.s.TrueUp && r.taken && o.Units > 0 {
 		g.charge(r.cust, o.Units-r.Units)
@@ -884,7 +884,7 @@
 		s := g.order[(from+k)%n]
 		if s.State != Up || g.now < s.downUntil || drawn && g.coldShare(s) < 1 || !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
-			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
+			!r.drops(s) {
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does, but one
@@ -1040,17 +1040,15 @@
 		if early || a.done || a.called || age < hedgeShare*r.cls.AimS {
 			continue
 		}
-		ran, at := r.ran, r.ranAt
-		if r.ran == nil {
-			r.ran, r.ranAt = a.srv, a.sentAt
-		}
+		ran := r.ran
+		r.mayHaveRun(a)
 		s := (*server)(nil)
 		if g.mayRetry(r) {
 			s = g.choose(r)
 		}
 		switch {
 		case s == nil || s == a.srv:
-			r.ran, r.ranAt = ran, at
+			r.ran = ran
 		case g.s.Parallel:
 			g.send(r, s)
 		case g.s.Cancel:
--- a/policy/repeat_test.go
+++ b/policy/repeat_test.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -48,3 +50,126 @@
 		})
 	}
 }
+
+// Guards against work that is sent again to servers that know nothing of its first send: a list may change
+// the group of the server that may have run it, and what counts is where that one stood then. Nothing tells
+// whether its memory went along, so where it stands now counts as well.
+func TestAListThatChangesGroupsMovesNoRepeat(t *testing.T) {
+	for name, moved := range map[string]Server{
+		"to another zone": {ID: "s1", Zone: "b", Cell: 1},
+		"to another cell": {ID: "s1", Zone: "a", Cell: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, r := gateway(t, alone)
+			g.Servers(100, []Server{{ID: "s1", Zone: "a", Cell: 1}}, true)
+			ask(g, 100, "k", "cell", "wide", 1)
+			g.Servers(100.1, []Server{moved, {ID: "s2", Zone: "a", Cell: 1}, {ID: "s3", Zone: moved.Zone, Cell: moved.Cell}}, true)
+			g.Outcome(100.2, Outcome{ID: "k", Attempt: 0, Status: Reset})
+			for now := 100.22; now < 102; now += tickS {
+				g.Timer(now, 1)
+			}
+			if sends := r.of("send", "k"); len(sends) != 1 {
+				t.Errorf("sent again to %s", sends[1].server)
+			}
+			if len(r.of("fail", "k")) != 1 {
+				t.Error("no failure was told")
+			}
+		})
+	}
+}
+
+// sentOnce is an attempt as the network made it.
+type sentOnce struct {
+	server string
+	in     group
+	at     float64 // when its last byte went out
+	status Status
+	done   bool
+}
+
+// Guards the rule on repeats over all effects, scopes and windows: whatever becomes of the attempts and
+// however late they are written, none goes out that could run work again, nor a refusal behind one.
+func TestNothingRunsTwiceWhateverHappens(t *testing.T) {
+	for seed := range uint64(400) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		ttl := []float64{0.02, lagS, 0.1, 0.3, 1, 3}[rng.IntN(6)]
+		g, r := gateway(t, func(s *Settings) {
+			s.Gateways, s.MaxAttempts, s.Parallel = 1, 2+rng.IntN(6), rng.IntN(2) == 0
+			s.Classes = nil
+			for _, c := range []Class{{Name: "all", KeyScope: ScopeAll}, {Name: "zone", KeyScope: ScopeZone}, {Name: "cell", KeyScope: ScopeCell}, {Name: "unsafe", Effect: Unsafe}} {
+				c.AimS, c.DeadlineS, c.Worth, c.LateWorth, c.KeyTTLS = 2, 4, 1, 0.5, ttl
+				if c.Effect != Unsafe {
+					c.Effect = Keyed
+				}
+				s.Classes = append(s.Classes, c)
+			}
+		})
+		groups := map[string]group{}
+		list := func(now float64) {
+			var l []Server
+			for i := range 8 {
+				s := Server{ID: fmt.Sprint("s", i), Zone: string(rune('a' + rng.IntN(2))), Cell: rng.IntN(3), State: State(rng.IntN(8) / 7)}
+				groups[s.ID] = group{s.Zone, s.Cell}
+				l = append(l, s)
+			}
+			g.Servers(now, l, true)
+		}
+		list(100)
+		class := g.s.Classes[rng.IntN(4)]
+		ask(g, 100, "k", class.Name, "wide", 1)
+		var made []*sentOnce
+		seen := 0
+		for now := 100.0; now < 104.5; now += 0.02 {
+			for ; seen < len(r.acts); seen++ {
+				a := r.acts[seen]
+				switch a.kind {
+				case "send":
+					s := &sentOnce{server: a.server, in: groups[a.server], at: now + rng.Float64()*0.5}
+					if rng.IntN(2) == 0 {
+						s.at = now
+					}
+					if a.whole > 0 && s.at > now+a.whole {
+						s.status, s.done = Moot, true // as the sockets have it
+						g.Outcome(now, Outcome{ID: "k", Attempt: len(made), Status: Moot})
+					}
+					for _, e := range made {
+						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != Moot
+						if !ran || s.done {
+							continue
+						}
+						if class.Effect == Unsafe || !sameGroup(class.KeyScope, e.in, s.in) || s.at > e.at+ttl {
+							t.Fatalf("seed %d: %+v is sent behind %+v, class %s, window %v", seed, s, e, class.Name, ttl)
+						}
+						break // the window counts from the first that may have run
+					}
+					made = append(made, s)
+				case "refuse":
+					for _, e := range made {
+						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != Moot
+						if ran && (class.Effect == Unsafe || class.KeyScope != ScopeAll) {
+							t.Fatalf("seed %d: refused behind %+v, class %s", seed, e, class.Name)
+						}
+					}
+				case "cancel":
+					if e := made[a.attempt]; !e.done {
+						e.status, e.done = Cancelled, true
+						g.Outcome(now, Outcome{ID: "k", Attempt: a.attempt, Status: Cancelled})
+					}
+				}
+			}
+			if rng.IntN(20) == 0 {
+				list(now)
+			}
+			for i, e := range made {
+				if !e.done && now >= e.at && rng.IntN(10) == 0 {
+					e.status, e.done = Status(1+rng.IntN(6)), true // anything but served
+					g.Outcome(now, Outcome{ID: "k", Attempt: i, Status: e.status, SpentS: now - e.at})
+				}
+			}
+			g.Timer(now, 1)
+		}
+		if n := len(r.of("refuse", "k")) + len(r.of("fail", "k")); n != 1 {
+			t.Errorf("seed %d: %d final answers", seed, n)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -100,6 +100,7 @@
 
 type attempt struct {
 	srv    *server
+	in     group // of the server as it was sent there
 	sentAt float64
 	done   bool
 	called bool // cancelled by us
@@ -115,6 +116,7 @@
 	attempts []attempt
 	out      int
 	ran      *server // first server where it may have run
+	ranIn    group
 	ranAt    float64
 	over     bool
 	asking   bool // the owner's word is awaited
@@ -282,15 +284,31 @@
 	return mix(h.Sum64())
 }
 
-// sameGroup tells whether two servers drop the repeats of the same key.
-func sameGroup(scope Scope, a, b *server) bool {
-	switch scope {
-	case ScopeZone:
-		return a.Zone == b.Zone
-	case ScopeCell:
-		return a.Zone == b.Zone && a.Cell == b.Cell
+// group is where a server stands among those that drop the repeats of the same key.
+type group struct {
+	zone string
+	cell int
+}
+
+func (s *server) group() group { return group{s.Zone, s.Cell} }
+
+// sameGroup tells whether the servers of two groups drop the repeats of the same key.
+func sameGroup(scope Scope, a, b group) bool {
+	return scope == ScopeAll || a.zone == b.zone && (scope == ScopeZone || a.cell == b.cell)
+}
+
+// mayHaveRun notes the first attempt that may have run.
+func (r *request) mayHaveRun(a *attempt) {
+	if r.ran == nil {
+		r.ran, r.ranIn, r.ranAt = a.srv, a.in, a.sentAt
 	}
-	return true
+}
+
+// drops tells whether a server drops the request if it has run already. The group of the one where it may
+// have counts as it was then, and as it is by now: a list may change it.
+func (r *request) drops(s *server) bool {
+	return r.ran == nil || r.cls.Effect != Keyed ||
+		sameGroup(r.cls.KeyScope, r.ranIn, s.group()) && sameGroup(r.cls.KeyScope, r.ran.group(), s.group())
 }
 
 // check tells what is wrong with the settings.
@@ -638,7 +656,7 @@
 	r.out++
 	g.sentAt, s.sentAt = g.now, g.now
 	g.outBy(r, 1)
-	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
+	r.attempts = append(r.attempts, attempt{srv: s, in: s.group(), sentAt: g.now})
 }
 
 // connected tells that a connection to the server most likely stands idle.
