Bound each value of discovery in time, and lengthen pauses for useless lists alone

Faults, each with a test that fails without its fix:

- A value that trickles put the end of a silent watch off with each byte, for good.
Now a value has as long as silence, and empty lines alone put the end off.
- While the whole list was wanted, as after a new configuration, an agent that refused was asked after pauses of up to 2 s, and what it gets at its return counts at once.
Pauses grow now only behind lists that came and were of no use, to 1 s at most.
- A long grace for drains put off the next question without end (0.3 of it): 0.5 s at most now.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -1,13 +1,13 @@
 package ingress
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -25,13 +25,20 @@
 	// it is asked again after so long, be it that it refuses or that it is silent.
 	askAgainShare = 0.3
 	graceDefault  = 0.25 // where the settings name none
-	questionsMost = 3    // unanswered ones to an agent, beside the first
+	// A long grace puts nothing off for longer than this: at most 6 s after discovery has a change and can be
+	// reached it must have come, whatever was before. docs/endings.md adds the waits up.
+	askAgainMost  = 500 * time.Millisecond
+	questionsMost = 3 // unanswered ones to an agent, beside the first
+	pauseMost     = 50 * time.Millisecond
 	badAgainFirst = 50 * time.Millisecond
-	badAgainMost  = 2 * time.Second // whole lists cost; one that can't be read is not asked for more often
+	badAgainMost  = time.Second // whole lists cost; one that can't be read is not asked for more often
 	maxListValue  = 4 << 20
 )
 
-var errListTooLong = errors.New("the list is too long")
+var (
+	errListTooLong = errors.New("the list is too long")
+	errWasted      = errors.New("a list came that is of no use")
+)
 
 // targets is a list of backends, or a change of it, as discovery words it.
 type targets struct {
@@ -89,20 +96,23 @@
 	in      *Ingress
 	http    *http.Client
 	addr    string
-	version int64         // the last that was taken in
-	whole   bool          // changes may be missing: only the whole list tells
-	again   time.Duration // until an agent that does not answer is asked again
+	version int64 // the last that was taken in
+	whole   bool  // changes may be missing: only the whole list tells
+}
+
+// askAgainAfter is how long an agent that does not answer, or refuses, is left alone, by the grace for sends
+// to draining backends.
+func askAgainAfter(graceS float64) time.Duration {
+	return min(time.Duration(cmp.Or(graceS, graceDefault)*askAgainShare*float64(time.Second)), askAgainMost)
 }
 
 // watchDiscovery keeps a watch open for as long as ctx lasts, and moves it at once when the
 // configuration was read again. An agent at another address may count its versions in its own way,
 // so the whole list is asked for there. What is known stays until that has come.
 func (in *Ingress) watchDiscovery(ctx context.Context, reread <-chan Config) {
-	grace := cmp.Or(in.cfg.Settings.StopSendingS, graceDefault)
 	w := &watcher{in: in, addr: in.cfg.Discovery, version: in.cfg.Known.Version,
-		again: time.Duration(grace * askAgainShare * float64(time.Second)),
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}}
+			DialContext: in.dialAgent}}}
 	bad := badAgainFirst
 	for ctx.Err() == nil {
 		round, stop := context.WithCancel(ctx)
@@ -117,10 +127,10 @@
 			}
 			seen, addr := w.version, w.addr
 			in.post(in.clock.now(), func() { in.note("watch ended", "error", err, "address", addr, "version", seen) })
-			pause := min(w.again, badAgainFirst)
-			if seen != before || !w.whole {
+			pause := min(in.askAgain, pauseMost)
+			if seen != before || !errors.Is(err, errWasted) {
 				bad = badAgainFirst
-			} else { // nothing of use has come, and the next question is for the whole list
+			} else { // an agent that refuses or is silent is asked soon, but lists cost
 				pause, bad = max(pause, bad), min(2*bad, badAgainMost)
 			}
 			select {
@@ -179,14 +189,21 @@
 		stops   []context.CancelFunc  // of the questions, in their order
 		open    = map[int]bool{}      // those that are unanswered
 		addr    = w.addr              // a question that was given up must not look at the watcher
-		next    = time.NewTimer(0)
+		next    = make(chan struct{}, 1)
 	)
-	defer next.Stop()
 	defer close(done)
+	next <- struct{}{}
+	again := w.in.alarm(w.in.askAgain, func() {
+		select {
+		case next <- struct{}{}:
+		default:
+		}
+	})
+	defer again.Stop()
 	for {
 		select {
-		case <-next.C:
-			next.Reset(w.again)
+		case <-next:
+			again.Reset(w.in.askAgain)
 			n := len(stops)
 			if old := n - questionsMost; old > 0 {
 				stops[old]()
@@ -239,19 +256,21 @@
 	return b.ReadCloser.Close()
 }
 
-// listReader puts off the end of a watch while bytes come, be they of a list or an empty line, and bounds
-// what a value of the stream may take.
+// listReader puts off the end of a watch while empty lines come, and bounds what a value of the stream may
+// take, in bytes and in time: one that trickles in would keep the next change from being asked for.
 type listReader struct {
 	from    io.Reader
-	silence *time.Timer   // ends the answer
-	most    time.Duration // after so much of it
+	silence alarm         // ends the answer
+	most    time.Duration // after so much of it, or of one value
 	left    int
+	within  bool // a value has begun to come
 }
 
 func (r *listReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
-	if n > 0 {
+	if n > 0 && !r.within {
 		r.silence.Reset(r.most)
+		r.within = len(bytes.TrimSpace(p[:n])) > 0
 	}
 	if r.left -= n; r.left < 0 {
 		return 0, errListTooLong
@@ -259,6 +278,14 @@
 	return n, err
 }
 
+// next has the following value come: the start of it may have been read behind the one before.
+func (r *listReader) next(read io.Reader) {
+	r.silence.Reset(r.most)
+	r.left = maxListValue
+	rest, _ := io.ReadAll(read)
+	r.within = len(bytes.TrimSpace(rest)) > 0
+}
+
 // watch reads one watch to its end, ahead of it the whole list if changes may be missing.
 func (w *watcher) watch(ctx context.Context) error {
 	if w.whole {
@@ -282,7 +309,7 @@
 				w.whole = true
 				return err
 			}
-			r.left = maxListValue
+			r.next(values.Buffered())
 			w.take(t)
 		}
 	})
@@ -305,10 +332,13 @@
 		return err
 	}
 	defer body.Close()
-	silence := time.AfterFunc(w.in.silence, cancel)
+	silence := w.in.alarm(w.in.silence, cancel)
 	defer silence.Stop()
-	r := &listReader{body, silence, w.in.silence, maxListValue}
-	return use(json.NewDecoder(r), r)
+	r := &listReader{from: body, silence: silence, most: w.in.silence, left: maxListValue}
+	if err = use(json.NewDecoder(r), r); err != nil && r.within {
+		return fmt.Errorf("%w: %w", errWasted, err)
+	}
+	return err
 }
 
 // list takes in the whole list. An entry that can't be used is left out: the rest must not wait for it.
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -68,7 +68,7 @@
 	for _, which := range []string{"a later question", "the first question"} {
 		t.Run(which, func(t *testing.T) {
 			addr, asked := manualAgent(t)
-			r := discovering(t, addr, func(r *rig) { r.in.cfg.Settings.StopSendingS = 0.25 })
+			r := discovering(t, addr, func(r *rig) { r.in.askAgain = 75 * time.Millisecond })
 			first, second := get(t, asked), get(t, asked)
 			select {
 			case <-first.left:
@@ -133,12 +133,18 @@
 func TestQuietWatchesThatEndAreOpenedAgainSoon(t *testing.T) {
 	pauses, free := make(chan time.Duration, 64), make(chan time.Time)
 	a := newAgent(t, func(string) []string { return nil }) // an empty line, and the end
-	for name, addr := range map[string]string{"quiet": a.addr(), "refusing": "127.0.0.1:2"} {
+	for name, addr := range map[string]string{"quiet": a.addr(), "refusing": "127.0.0.1:2", "new, refusing": "127.0.0.1:2"} {
 		t.Run(name, func(t *testing.T) {
-			discovering(t, addr, func(r *rig) {
-				r.in.cfg.Settings.StopSendingS = 0.2
+			r := discovering(t, addr, func(r *rig) {
+				r.in.askAgain = askAgainAfter(0.2)
 				r.in.pause = func(d time.Duration) <-chan time.Time { pauses <- d; return free }
 			})
+			if strings.HasPrefix(name, "new") { // a new configuration wants the whole list
+				get(t, pauses)
+				cfg := testConfig()
+				cfg.Discovery = "127.0.0.1:3"
+				r.reread <- cfg
+			}
 			for range 12 {
 				if d := get(t, pauses); d > 100*time.Millisecond {
 					t.Errorf("a pause of %v, half of the grace at most is wanted", d)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -96,7 +96,7 @@
 
 func testConfig(backends ...string) Config {
 	c := Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: noDiscovery, Sockets: 1024,
-		Settings: settings.Settings{DialTimeoutS: 60, StopSendingS: 3600, Settings: policy.Settings{ConnIdleS: 15, Gateways: 2, MaxUnits: 6,
+		Settings: settings.Settings{DialTimeoutS: 60, Settings: policy.Settings{ConnIdleS: 15, Gateways: 2, MaxUnits: 6,
 			MaxAttempts: 5, MaxRetryAfterS: 1, RetryAfter: true, Cancel: true,
 			Classes: []policy.Class{
 				{Name: "look", AimS: 1, DeadlineS: 2, Effect: policy.Safe},
@@ -118,7 +118,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, in: in, mod: newModule(), end: make(chan struct{}), term: cancel, reread: make(chan Config)}
-	in.backends.copyS = 0 // the tests' answers are alike
+	in.backends.copyS = 0   // the tests' answers are alike
+	in.askAgain = time.Hour // a test that is slow is asked once
 	quiet := make(chan struct{})
 	if cfg.Discovery == noDiscovery { // asked once, so that no event comes of it later
 		in.pause = func(time.Duration) <-chan time.Time {
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -72,6 +72,12 @@
 	Probed(now float64, p policy.ProbeResult)
 }
 
+// alarm runs a function once, on a goroutine of its own, after a time that can be set anew; a *time.Timer.
+type alarm interface {
+	Reset(time.Duration) bool
+	Stop() bool
+}
+
 // Ingress is one gateway on real sockets. Its loop alone owns the gateway and all that is not said
 // to belong to another goroutine.
 type Ingress struct {
@@ -95,7 +101,10 @@
 	drainFor  time.Duration                        // and when all is answered at the latest
 	pause     func(time.Duration) <-chan time.Time // between questions to discovery
 	silence   time.Duration                        // of discovery, that tells that an answer has broken off
-	turn      func()                               // lets readers run
+	askAgain  time.Duration                        // until an agent that does not answer is asked again
+	alarm     func(time.Duration, func()) alarm    // of discovery
+	dialAgent func(ctx context.Context, network, addr string) (net.Conn, error)
+	turn      func() // lets readers run
 	listener  *net.TCPListener
 	clients   clientSet
 	requests  map[string]*request
@@ -127,7 +136,10 @@
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
 		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After, silence: watchSilence,
-		turn: func() { time.Sleep(readersTurn) }}
+		askAgain:  askAgainAfter(cfg.Settings.StopSendingS),
+		alarm:     func(d time.Duration, do func()) alarm { return time.AfterFunc(d, do) },
+		dialAgent: (&net.Dialer{Timeout: time.Second}).DialContext,
+		turn:      func() { time.Sleep(readersTurn) }}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
