Look whether the client is still there before every send, also of what was only just read

All were first sends within 20 ms of the reading, which alone were not looked at.

Now each send asks the state of the connection, FIN and RST alike, also with commands unread ahead (one call to the system; the second one it made before told nothing more). Test: the case "only just read" of TestNothingIsSentForAClientThatHasLeft, closed and reset; it fails without the change.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -74,15 +74,9 @@
 }
 
 // overtaken tells that what would make a send of the request needless or wrong has come, though the loop
-// has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left while
-// the request waited. A fresh request has neither, unless it lay in the socket of a process that stood still.
-func (in *Ingress) overtaken(r *request) bool {
-	if in.answerWaits(r) {
-		return true
-	}
-	now := in.clock.now()
-	return (len(r.attempts) > 1 || r.waited || now-r.readAt > lateS || in.stoodStill(now)) && in.hungUp(r.client)
-}
+// has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left. A request
+// that was only just read is no exception: it may have lain in its socket for long.
+func (in *Ingress) overtaken(r *request) bool { return in.answerWaits(r) || in.hungUp(r.client) }
 
 // answerWaits tells that an attempt of the request has ended, though the loop has not heard of it.
 func (in *Ingress) answerWaits(r *request) bool {
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -23,7 +23,6 @@
 	args           [][]byte // command, customer, id, fields and, in a write, the body
 	size           int      // of all of them
 	d              [2]int   // where the value of d stands in the fields
-	waited         bool     // behind so many open commands that nobody knows for how long
 }
 
 // keep makes the call's bytes its own: they were the reader's.
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -49,7 +49,6 @@
 	// Its reader's.
 	buf    buffer
 	errors int
-	waited bool // commands have waited for a permit, so nothing tells for how long those after them have
 
 	// Loop only.
 	slots    []*slot // no more than permits, and one
@@ -326,7 +325,6 @@
 		select {
 		case c.permits <- struct{}{}:
 		default:
-			c.waited = true
 			select {
 			case c.permits <- struct{}{}:
 			case <-c.quit:
@@ -383,7 +381,6 @@
 			return nil
 		}
 		call.keep()
-		call.waited = c.waited
 		in.post(at, func() { in.take(c, call, at) })
 	case bytes.EqualFold(args[0], []byte("PING")):
 		in.post(at, func() { in.ping(c) })
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -231,11 +231,31 @@
 			get(t, r.mod.requests)
 			left := gone(r, "a")
 			r.still(func() { c.leave(how) }, left, func() {
-				r.in.requests["a"].readAt -= 1
 				r.in.Send("a", "s0", 0, 0)
 			})
 			nothing(t, r, conns, "a")
 		})
+		t.Run("only just read, "+how, func(t *testing.T) {
+			addr, conns := listen(t)
+			r := start(t, testConfig(addr), sendTo(0))
+			c := r.client()
+			c.send("PING")
+			c.line()
+			var raw *client
+			r.do(func() {
+				for raw = range r.in.clients.all {
+				}
+			})
+			r.still(func() { c.send(look("a")...) }, r.queued(1), func() {
+				c.leave(how)
+				for end := time.Now().Add(patience); !closedByPeer(raw.raw) && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				q := <-r.in.events
+				r.in.events <- event{r.in.clock.now(), q.do} // as if the reader had come to it only now
+			})
+			nothing(t, r, conns, "a")
+		})
 		t.Run("in the socket of a process that stood still, "+how, func(t *testing.T) {
 			addr, conns := listen(t)
 			r := start(t, testConfig(addr), nil)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -191,16 +191,11 @@
 func closedByPeer(raw syscall.RawConn) (gone bool) {
 	raw.Control(func(fd uintptr) {
 		// The first byte of the struct is the state.
-		if info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
-			switch info & 0xff {
-			case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
-				gone = true
-				return
-			}
+		info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		switch info & 0xff {
+		case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+			gone = err == nil
 		}
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	})
 	return gone
 }
@@ -282,7 +277,7 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) || a.req != nil && (in.answerWaits(a.req) || in.hungUp(a.req.client)) {
+		if in.unsendable(a) || a.req != nil && in.overtaken(a.req) {
 			in.later(a, policy.Moot)
 			continue
 		}
