Let idle clients make room when no descriptor is left, and keep the reserve in step with the limit

Without the change neither discovery, nor a backend, nor the file that SIGHUP names could be opened: nothing was given up for them, and a configuration that could not be read for want of a descriptor was dropped with its signal.

Now a call that fails so (accept, dial, discovery), and a look once a second, close idle connections to backends and the eighth of the clients that idles longest, never one that is owed an answer, and lower the bound on clients to what the process has; it comes back with time. The file is tried again every 50 ms. The reserve grows with the limit (32 and a thirty-second).

--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"cometpond/internal/ingress"
 )
@@ -20,6 +21,8 @@
 	processors = 1
 	// From this share of the memory limit on, the collector works as hard as it must.
 	memoryShare = 0.6
+	// How often a file that no descriptor is left for is tried again; what it tells counts 4 s after the signal.
+	retryEvery = 50 * time.Millisecond
 )
 
 func main() {
@@ -72,6 +75,14 @@
 			return
 		}
 		cfg, err := ingress.ReadConfig(path)
+		for ingress.OutOfDescriptors(err) { // the ingress makes room meanwhile; the signal must not be lost for it
+			select {
+			case <-time.After(retryEvery):
+			case <-done:
+				return
+			}
+			cfg, err = ingress.ReadConfig(path)
+		}
 		if err != nil {
 			log.Error("configuration not taken over", "error", err)
 			continue
--- a/cmd/eiderspread/main_test.go
+++ b/cmd/eiderspread/main_test.go
@@ -87,37 +87,14 @@
 	signal.Notify(spare, syscall.SIGHUP)
 	defer signal.Stop(spare)
 
-	backend, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer backend.Close()
-	go func() {
-		for {
-			c, err := backend.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				for r := bufio.NewReader(c); ; {
-					line, err := r.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if strings.HasPrefix(line, "c=") { // the last argument of a read
-						io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-					}
-				}
-			}()
-		}
-	}()
+	backend := serveBackend(t)
 	watched := make(chan int, 16)
 	var agents []string
 	for i := range 3 {
 		end := make(chan struct{})
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			fmt.Fprintf(w, `{"version":%d,"full":true,"servers":[{"id":"s","addr":"%s","zone":"a","state":"in_service"}]}`+"\n",
-				10-i, backend.Addr())
+				10-i, backend)
 			w.(http.Flusher).Flush()
 			if q.URL.Query().Get("watch") != "" {
 				watched <- i
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -23,13 +23,20 @@
 	lingerMost   = 2 * time.Second // how long a refused client's bytes are read and dropped
 	lingerBytes  = 1 << 20         // and how many
 	idleMost     = 10.0            // seconds for which a connection may stand idle
+	clientsLeast = 8
 	acceptRetry  = 5 * time.Millisecond
 	lastWords    = 100 * time.Millisecond // for a command on a connection that came last
 	lastCall     = 10 * time.Millisecond  // without a new connection, after which the listener closes
 	acceptSlack  = 8                      // connections accepted that the loop has not come to
-	reservedFDs  = 32                     // for the listener, discovery, peers, the slack and the runtime
+	// For the listener, discovery with the questions open beside each other, peers, the configuration file, the
+	// slack and the runtime; and a share for what is being closed.
+	reservedFDs   = 32
+	reservedShare = 1.0 / 32
 )
 
+// usableFDs is how many descriptors connections may take: the rest is kept for all that must never wait for one.
+func usableFDs(sockets int) int { return sockets - reservedFDs - int(float64(sockets)*reservedShare) }
+
 // slot is the place of one answer in its connection's order.
 type slot struct {
 	req    *request // nil where the answer was known at once
@@ -74,6 +81,7 @@
 type clientSet struct {
 	all     map[*client]struct{}
 	most    int
+	allowed int           // what most is as long as descriptors last
 	surplus int           // so many more are taken, to be refused in words
 	going   int           // connections that were asked to stand still, to be closed
 	room    chan struct{} // a place for each connection, taken before it is accepted
@@ -83,8 +91,9 @@
 
 func (s *clientSet) init(sockets int) {
 	s.all = map[*client]struct{}{}
-	s.most = max(8, (sockets-reservedFDs)/2)
-	s.surplus = max(2, (sockets-reservedFDs)/8)
+	s.most = max(clientsLeast, usableFDs(sockets)/2)
+	s.allowed = s.most
+	s.surplus = max(2, usableFDs(sockets)/8)
 	s.commandMost = commandMost
 	s.room = make(chan struct{}, s.most+s.surplus+acceptSlack)
 }
@@ -229,7 +238,10 @@
 		at := in.clock.now()
 		if err != nil {
 			<-in.clients.room
-			in.post(at, func() { in.note("accept failed", "error", err) })
+			in.post(at, func() {
+				in.note("accept failed", "error", err)
+				in.starved(err)
+			})
 			time.Sleep(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
--- /dev/null
+++ b/internal/ingress/descriptors.go
@@ -0,0 +1,58 @@
+package ingress
+
+import (
+	"errors"
+	"os"
+	"syscall"
+)
+
+// Descriptors: the bounds on connections leave a reserve, and where the process gets fewer than its
+// configuration says, idle clients make room, so that discovery, backends and files are never kept waiting.
+
+const (
+	// Of the clients, that go when there is no descriptor left, and of their bound, that comes back with each
+	// check that finds one.
+	shedShare = 8
+	backShare = 32
+)
+
+// OutOfDescriptors tells whether a call failed since this process, or the machine, has none left.
+func OutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// spareDescriptor fails if no descriptor is to be had.
+func spareDescriptor() error {
+	f, err := os.Open(os.DevNull)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+// checkDescriptors makes room before a call fails that has nobody to tell of it, and gives the bound on
+// clients back once there is room again.
+func (in *Ingress) checkDescriptors() {
+	if s := &in.clients; !in.starved(in.spare()) && s.most < s.allowed {
+		s.most = min(s.allowed, s.most+max(1, s.allowed/backShare))
+	}
+}
+
+// starved tells whether a call failed for want of descriptors. Idle connections make room then: those to
+// backends first, which cost a new one at most, and clients that are owed nothing, those idle for longest first.
+func (in *Ingress) starved(err error) bool {
+	if !OutOfDescriptors(err) {
+		return false
+	}
+	s := &in.clients
+	n := max(1, s.staying()/shedShare)
+	in.note("no descriptor left", "clients", s.open(), "backends", in.backends.open)
+	for range max(1, n/2) {
+		if !in.evictIdle() {
+			break
+		}
+	}
+	s.most = max(clientsLeast, min(s.most, s.staying()-n))
+	s.full(in, nil)
+	return true
+}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -126,7 +126,10 @@
 				return
 			}
 			seen, addr := w.version, w.addr
-			in.post(in.clock.now(), func() { in.note("watch ended", "error", err, "address", addr, "version", seen) })
+			in.post(in.clock.now(), func() {
+				in.note("watch ended", "error", err, "address", addr, "version", seen)
+				in.starved(err)
+			})
 			pause := min(in.askAgain, pauseMost)
 			if seen != before || !errors.Is(err, errWasted) {
 				bad = badAgainFirst
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -104,7 +104,8 @@
 	askAgain  time.Duration                        // until an agent that does not answer is asked again
 	alarm     func(time.Duration, func()) alarm    // of discovery
 	dialAgent func(ctx context.Context, network, addr string) (net.Conn, error)
-	turn      func() // lets readers run
+	turn      func()       // lets readers run
+	spare     func() error // tells whether a descriptor is to be had
 	listener  *net.TCPListener
 	clients   clientSet
 	requests  map[string]*request
@@ -139,7 +140,7 @@
 		askAgain:  askAgainAfter(cfg.Settings.StopSendingS),
 		alarm:     func(d time.Duration, do func()) alarm { return time.AfterFunc(d, do) },
 		dialAgent: (&net.Dialer{Timeout: time.Second}).DialContext,
-		turn:      func() { time.Sleep(readersTurn) }}
+		turn:      func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
 	in.now = in.clock.now()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
@@ -182,6 +183,7 @@
 	in.every(sweepEvery, func() {
 		in.backends.sweep(in)
 		in.clients.sweep(in)
+		in.checkDescriptors()
 	})
 	in.loop(ctx)
 }
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -57,7 +57,7 @@
 func (s *backendSet) init(cfg Config) {
 	s.byID = map[string]*backend{}
 	s.wrote = func(*backConn) {}
-	s.most = max(8, (cfg.Sockets-reservedFDs)*3/8)
+	s.most = max(8, usableFDs(cfg.Sockets)*3/8)
 	s.copyS = copyS
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
@@ -241,7 +241,7 @@
 	if c == nil {
 		in.backends.open--
 		in.note("dial failed", "backend", be.ID, "error", err)
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		if in.starved(err) || errors.Is(err, syscall.EADDRNOTAVAIL) {
 			failed = policy.Moot // for want of something here: it tells nothing of the backend
 		}
 	} else {
