Have another idle client go when one that was to make room can't be closed

Found by TestIdleClientsLeaveDescriptors on a busy machine, where new clients waited for up to 10 s. For each newcomer the connection that had said nothing yet was told to go first. Where its first word was on its way it stayed, rightly, but nothing went in its place; places filled up, nobody new could be accepted, and without a newcomer nobody was told to go until idle ones were closed by their age.

Now the next one is told when a connection stays, one whose first word has come is told last, and the look that is taken each second makes room as well.

--- a/cmd/eiderspread/descriptors_test.go
+++ b/cmd/eiderspread/descriptors_test.go
@@ -117,6 +117,13 @@
 			ended := make(chan error, 1)
 			go func() { ended <- program.Wait() }()
 			t.Cleanup(func() { program.Process.Kill(); <-ended })
+			t.Cleanup(func() {
+				if t.Failed() {
+					log.mu.Lock()
+					t.Log(log.b.String())
+					log.mu.Unlock()
+				}
+			})
 			idle := make(chan struct{}, 4096) // a word for each client that was answered and idles
 			stop := make(chan struct{})
 			defer close(stop)
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -51,6 +51,7 @@
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
 	pausing atomic.Bool   // the loop wants the reader to stand still between commands
+	began   atomic.Bool   // something has been read
 	resume  chan struct{} // and to go on
 
 	// Its reader's.
@@ -115,6 +116,9 @@
 			in.clientGone(c)
 		}
 	}
+	if s.staying() > s.most { // nobody new may come to it who would have others make room
+		s.full(in, nil)
+	}
 }
 
 // closeIdle closes each connection that waits for no answer.
@@ -157,25 +161,29 @@
 	in.clients.going--
 	c.pausing.Store(false)
 	c.resume <- struct{}{}
+	in.clients.full(in, nil) // another one has to go in its place
 }
 
 // rank orders the connections that may be closed for others: first those that were told their last
-// answer, then those that have said nothing, then those that idle.
+// answer, then those that have said nothing, then those that idle, then those whose first word has come but
+// was not heard yet: they could not be closed, and others would have to wait for that.
 func (c *client) rank() int {
 	switch {
 	case c.ending:
 		return 0
-	case !c.spoke:
-		return 1
+	case c.spoke:
+		return 2
+	case c.began.Load() || !silent(c.raw):
+		return 3
 	}
-	return 2
+	return 1
 }
 
 // full tells that more connections are open, the newcomer aside, than may be served, after those of the
 // lowest rank, and of them those unused for longest, were closed to make room.
 func (s *clientSet) full(in *Ingress, newcomer *client) bool {
 	for {
-		others := 0
+		others, lowest := 0, 0
 		var first *client
 		for c := range s.all {
 			if c == newcomer || c.asked { // as good as gone
@@ -184,8 +192,8 @@
 			if others++; !c.idle() {
 				continue
 			}
-			if first == nil || c.rank() < first.rank() || c.rank() == first.rank() && c.usedAt < first.usedAt {
-				first = c
+			if rank := c.rank(); first == nil || rank < lowest || rank == lowest && c.usedAt < first.usedAt {
+				first, lowest = c, rank
 			}
 		}
 		switch {
@@ -287,6 +295,9 @@
 		}
 		n, err := c.conn.Read(room)
 		at := in.clock.now()
+		if n > 0 {
+			c.began.Store(true)
+		}
 		c.buf.grew(n)
 		used, ok := c.commands(in, at, words)
 		if !ok {
