Pass over the tests that KNOWN-RED.txt lists, and only them

test.sh reads the file if there is one: a test's exact name, the cause and the issue on a line. There is no such file now.

--- a/test.sh
+++ b/test.sh
@@ -8,7 +8,13 @@
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "no build command in deploy/balancer.toml"; exit 1; }
 bash -c "$build"
-go test -race -count=1 ./...
+red=()
+if [ -e KNOWN-RED.txt ]; then
+  names=$(go test -list '^Test' ./...)
+  pattern=$(go run ./cmd/knownred KNOWN-RED.txt <<< "$names")
+  if [ -n "$pattern" ]; then red=(-skip "$pattern"); fi
+fi
+go test -race -count=1 ${red[@]+"${red[@]}"} ./...
 for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
   lines=$(grep -c '[^[:space:]]' "$f")
   [ "$lines" -le 1200 ] || { echo "$f holds $lines lines, 1200 at most"; exit 1; }
