Be ready 2 s after the start even where no backend of use is known

Found by reading: while discovery was down, a process whose list was empty or named only draining backends answered PING with -LOADING for as long as that lasted, though nine in ten must be ready within 10 s. TestReadyWithoutDiscovery fails without the change.

--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -32,6 +32,9 @@
 	// Each time limit has 50 ms of slack. A timer that is later than a part of it tells that this process
 	// stood still, and what came meanwhile may still lie in the sockets.
 	lateS = 0.02
+	// How long after the start a list with a backend of use is waited for before the front is told that this
+	// ingress is ready. Nine in ten have to be within 10 s.
+	readyMost = 2 * time.Second
 	// So the readers are given turns, until one brings nothing more, and so many at most.
 	readersTurn  = 200 * time.Microsecond
 	readersTurns = 10
@@ -111,9 +114,10 @@
 	requests  map[string]*request
 	backends  backendSet
 	peers     *peerLink
-	leaving   bool // connections close between requests
-	accepted  bool // the listener is closed, all that came there was accepted
-	stopped   bool // what comes now is refused at once
+	leaving   bool    // connections close between requests
+	accepted  bool    // the listener is closed, all that came there was accepted
+	stopped   bool    // what comes now is refused at once
+	readyAt   float64 // when it is ready without a backend
 }
 
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
@@ -142,6 +146,7 @@
 		dialAgent: (&net.Dialer{Timeout: time.Second}).DialContext,
 		turn:      func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
 	in.now = in.clock.now()
+	in.readyAt = in.now + readyMost.Seconds()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg)
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -20,9 +20,11 @@
 	over     bool
 }
 
-// ping tells the front that this ingress can serve.
+// ping tells the front that this ingress can serve. While discovery is down and the list that it was started
+// with names no backend of use, it is ready all the same after a moment: it answers what comes, and has its
+// place when discovery is back.
 func (in *Ingress) ping(c *client) {
-	if !in.backends.ready() {
+	if !in.backends.ready() && in.now < in.readyAt {
 		in.answerAtOnce(c, redcon.AppendError(nil, "LOADING no backends known yet"), false)
 		return
 	}
--- /dev/null
+++ b/internal/ingress/size_test.go
@@ -0,0 +1,215 @@
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/tidwall/redcon"
+
+	"cometpond/policy"
+)
+
+// manyMost is the number of gateways and of backends below which nothing may be capped.
+const manyMost = 1024
+
+// manyConfig is that of gateway number me of so many, with as many backends, none of which answers.
+func manyConfig(t *testing.T, me int, peers []netip.AddrPort) Config {
+	c := testConfig()
+	c.MemoryMB, c.Sockets = 192, 1024
+	c.Settings.Gateways, c.Settings.Me, c.Settings.Settings.Peers = manyMost, me, true
+	c.Peers, c.PeerListen = peers, peers[me]
+	for i := range manyMost {
+		c.Known.Servers = append(c.Known.Servers, target{ID: fmt.Sprintf("s-%08x", i), Zone: "z",
+			Addr: fmt.Sprintf("127.9.%d.%d:6379", i>>8, i&255), State: "in_service"})
+	}
+	return c
+}
+
+func manyPeers(t *testing.T) (peers []netip.AddrPort) {
+	for i := range manyMost {
+		peers = append(peers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, byte(i >> 8), byte(i)}), 7946))
+	}
+	for _, i := range []int{0, manyMost - 1} { // the two that run get ports of their own
+		c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(peers[i].Addr(), 0)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		peers[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
+		c.Close()
+	}
+	return peers
+}
+
+// Guards against caps on lists: with 1,024 gateways and as many backends the list that a process starts with,
+// a whole list and a change are taken in, indented too; messages go both ways between the first gateway and
+// the last, one to each without a loss on this side; it is ready at once, and the memory stays far below its limit.
+func TestAThousandGatewaysAndBackends(t *testing.T) {
+	peers := manyPeers(t)
+	addr, asked := manualAgent(t)
+	cfg := manyConfig(t, 0, peers)
+	cfg.Discovery = addr
+	first := start(t, cfg, nil)
+	last := start(t, manyConfig(t, manyMost-1, peers), nil)
+	if n := len(get(t, first.mod.lists)); n != manyMost {
+		t.Fatalf("the module got %d backends", n)
+	}
+	c := first.client()
+	if c.send("PING"); c.line() != "+PONG" {
+		t.Error("not ready, with a list and a silent agent")
+	}
+	list := targets{Version: 7, Full: true}
+	for i := range manyMost {
+		list.Servers = append(list.Servers, target{ID: fmt.Sprintf("new-%08x", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
+	}
+	text, err := json.MarshalIndent(list, "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := get(t, asked)
+	a.tell(string(text) + "\n")
+	if n := len(get(t, first.mod.lists)); n != manyMost {
+		t.Errorf("the module got %d backends", n)
+	}
+	a.tell(listed(8, false, fmt.Sprintf("new-%08x", manyMost-1), "terminating"))
+	if got := fmt.Sprint(first.ids()); got != fmt.Sprintf("[new-%08x 1]", manyMost-1) {
+		t.Errorf("the module got %s", got)
+	}
+	first.do(func() {
+		if n := len(first.in.backends.byID); n != manyMost {
+			t.Errorf("%d backends are kept", n)
+		}
+		first.in.Tell(manyMost-1, []byte("there"))
+	})
+	if m := get(t, last.mod.messages); m.from != 0 || m.data != "there" {
+		t.Errorf("the last gateway got %+v", m)
+	}
+	last.do(func() { last.in.Tell(0, []byte(strings.Repeat("x", maxDatagram))) })
+	if m := get(t, first.mod.messages); m.from != manyMost-1 || len(m.data) != maxDatagram {
+		t.Errorf("the first gateway got %d bytes of %d", len(m.data), m.from)
+	}
+	first.do(func() {
+		before := first.in.noise
+		for i := 1; i < manyMost; i++ { // all in one event: nothing may be lost before the socket
+			first.in.Tell(i, []byte("all"))
+		}
+		if first.in.noise != before {
+			t.Error("datagrams were lost in the queue")
+		}
+	})
+	c.send("CALL.GET", customer, "a", "c=look,t=basic,d=600000,units=2,spread=1024,first=1023")
+	if q := get(t, first.mod.requests); q.Entries != manyMost || q.First != manyMost-1 {
+		t.Errorf("the module got %+v", q)
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	if runtime.ReadMemStats(&m); m.HeapAlloc > 2*64<<20 { // both, and the test's own
+		t.Errorf("%d MB are in use", m.HeapAlloc>>20)
+	}
+}
+
+// Guards against a process that is never ready while discovery is down and its list names no backend of use,
+// or is empty; and against one that is ready before it could have heard of any.
+func TestReadyWithoutDiscovery(t *testing.T) {
+	for name, servers := range map[string][]target{
+		"no list":       nil,
+		"an old list":   {{ID: "s0", Addr: "127.0.0.1:1", State: "terminating"}},
+		"a list of use": {{ID: "s0", Addr: "127.0.0.1:1", State: "in_service"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, asked := manualAgent(t) // silent
+			cfg := testConfig()
+			cfg.Discovery, cfg.Known.Servers = addr, servers
+			r := start(t, cfg, func(r *rig) { r.in.readyAt = r.in.now + 3600 })
+			get(t, asked)
+			c := r.client()
+			want := "-LOADING no backends known yet"
+			if name == "a list of use" {
+				want = "+PONG"
+			}
+			if c.send("PING"); want != "" {
+				if got := c.line(); got != want {
+					t.Errorf("at the start: got %q, want %q", got, want)
+				}
+			}
+			r.do(func() { r.in.readyAt = r.in.now })
+			c.send("PING")
+			if got := c.line(); got != "+PONG" {
+				t.Errorf("a moment later: got %q", got)
+			}
+			c.send(look("a")...)
+			get(t, r.mod.requests)
+			r.do(func() { r.in.answer(r.in.requests["a"], redcon.AppendError(nil, "BUSY")) })
+			if got := c.line(); got != "-BUSY" {
+				t.Errorf("a request got %q", got)
+			}
+		})
+	}
+}
+
+// Guards the messages of the module in the largest fleets: a member and an owner with the largest numbers
+// agree on a customer, and news of any of so many backends is told.
+func TestMessagesOfAThousandGateways(t *testing.T) {
+	type told struct {
+		to   int
+		data []byte
+	}
+	gates, sent := map[int]*policy.Gateway{}, map[int]*[]told{}
+	s := manyConfig(t, 0, manyPeers(t)).Settings.Settings
+	s.PeerIntake = 40
+	for _, me := range []int{0, manyMost - 1} {
+		s.Me = me
+		list := new([]told)
+		g, err := policy.New(s, 7, 100, &quiet{tell: func(to int, b []byte) { *list = append(*list, told{to, b}) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var servers []policy.Server
+		for i := range manyMost {
+			servers = append(servers, policy.Server{ID: fmt.Sprint("s", i), Zone: "z"})
+		}
+		g.Servers(100, servers, true)
+		gates[me], sent[me] = g, list
+	}
+	for i := range 40 { // customers of both; each of them owns some
+		for me, g := range gates {
+			g.Request(100, policy.Request{ID: fmt.Sprint(me, "-", i), Class: "look", Plan: "basic", Customer: fmt.Sprintf("%016x", i),
+				DeadlineS: 102, First: manyMost - 1, Entries: 2, Units: 1})
+		}
+	}
+	for _, g := range gates {
+		g.Timer(100.2, 1)
+	}
+	for me, other := range map[int]int{0: manyMost - 1, manyMost - 1: 0} {
+		if len(*sent[me]) == 0 {
+			t.Fatalf("gateway %d told nothing", me)
+		}
+		for _, m := range *sent[me] {
+			if m.to != other || len(m.data) > maxDatagram {
+				t.Fatalf("gateway %d told %d bytes to %d", me, len(m.data), m.to)
+			}
+			before := len(*sent[other])
+			gates[other].Peer(100.21, me, m.data)
+			if len(*sent[other]) == before {
+				t.Errorf("gateway %d did not answer", other)
+			}
+			break
+		}
+	}
+}
+
+// quiet takes what a module does, and passes on what it tells.
+type quiet struct{ tell func(int, []byte) }
+
+func (q *quiet) Send(string, string, float64, float64) {}
+func (q *quiet) Refuse(string, float64)                {}
+func (q *quiet) Fail(string)                           {}
+func (q *quiet) Cancel(string, int)                    {}
+func (q *quiet) SetTimer(uint64, float64)              {}
+func (q *quiet) Probe(string)                          {}
+func (q *quiet) Tell(to int, b []byte)                 { q.tell(to, append([]byte(nil), b...)) }
+func (q *quiet) Log(string)                            {}
