--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -11,7 +11,7 @@
 
 const (
 	maxDatagram = 256
-	peerQueue   = 64
+	peerQueue   = 64 // and one for each gateway: all may be due at once
 )
 
 // peerLink exchanges datagrams with the other ingresses.
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
-	p := &peerLink{in: in, conn: conn, queue: make(chan datagram, peerQueue)}
+	p := &peerLink{in: in, conn: conn, queue: make(chan datagram, peerQueue+len(in.cfg.Peers))}
 	go p.send()
 	return p, nil
 }
