--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -116,7 +116,12 @@
 			in.clientGone(c)
 		}
 	}
-	if s.staying() > s.most { // nobody new may come to it who would have others make room
+	s.trim(in) // nobody new may come to it who would have others make room
+}
+
+// trim has idle connections go while more are open than may be.
+func (s *clientSet) trim(in *Ingress) {
+	if s.staying() > s.most {
 		s.full(in, nil)
 	}
 }
@@ -161,7 +166,7 @@
 	in.clients.going--
 	c.pausing.Store(false)
 	c.resume <- struct{}{}
-	in.clients.full(in, nil) // another one has to go in its place
+	in.clients.trim(in) // another one has to go in its place
 }
 
 // rank orders the connections that may be closed for others: first those that were told their last
