--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -380,3 +380,37 @@
 		})
 	}
 }
+
+// Guards against a client that has left and is taken for one that is still there, for the commands of it that
+// are unread, as where its reader waits behind open ones.
+func TestAClientThatHasLeftIsSeenBehindUnreadCommands(t *testing.T) {
+	for _, unread := range []string{"", "*1\r\n$4\r\nPING\r\n", strings.Repeat("*1\r\n$4\r\nPING\r\n", 200)} {
+		for _, how := range []string{"closed", "reset", "half closed"} {
+			addr, conns := listen(t)
+			mine, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { mine.Close() })
+			raw, err := mine.(*net.TCPConn).SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			other := get(t, conns)
+			io.WriteString(other, unread)
+			if closedByPeer(raw) {
+				t.Errorf("%d bytes unread: gone before it has left", len(unread))
+			}
+			if how == "half closed" {
+				other.Conn.(*net.TCPConn).CloseWrite()
+			} else {
+				other.leave(how)
+			}
+			for end := time.Now().Add(patience); !closedByPeer(raw); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("%s behind %d bytes: not seen", how, len(unread))
+				}
+			}
+		}
+	}
+}
