--- a/policy/policy.go
+++ b/policy/policy.go
@@ -818,11 +818,12 @@
 }
 
 // turns gives each cold server its part of a request: what it may have of all work by what it can do. The
-// work of a whole one is a turn, and from then on one attempt may go there. Gateways begin at different points
-// of it, by their numbers, so that their turns follow each other: all together send what the parts add up to,
-// whatever each sees. That never goes above a share of what the settings allow, not even where most servers
-// are cold and what is asked for is more than they can do: what finds no turn waits. Further attempts, and
-// later tries of clients, take turns but bring none, as there are most of them where servers are overloaded.
+// work of a whole one is a turn, and from then on one attempt may go there. Gateways begin at other points
+// of it, by their numbers, so that their turns follow each other: all together send what the parts add up
+// to, whatever each sees. That never goes above a share of what the settings allow, not even where most
+// servers are cold and what is asked for is more than they can do: what finds no turn waits. Further
+// attempts, and later tries of clients, take turns but bring none, as there are most of them where servers
+// are overloaded.
 func (g *Gateway) turns(r *request) {
 	if r.counted || r.later {
 		return
@@ -842,9 +843,10 @@
 	}
 }
 
-// coldPart is the part of this gateway's work that a cold server may have. A warm one can do at least what it
-// has carried, so what the settings allow a cold one is a multiple of its part of that. The less it can do, the
-// more its load swings: from many gateways, which can't see that, it gets less as long as others can take the rest.
+// coldPart is the part of this gateway's work that a cold server may have. A warm one can do at least what
+// it has carried, so what the settings allow a cold one is a multiple of its part of that. The less it can
+// do, the more its load swings: from many gateways, which can't see that, it gets less as long as others
+// can take the rest.
 func (g *Gateway) coldPart(share float64) float64 {
 	most := share * g.s.FallMultiple / max(g.up, 1) * min(max(g.carried/max(g.offered, 1e-9), carriedLeast), 1)
 	if g.s.Gateways <= lookAll {
