Log a typed reason, the connection and the owed requests wherever a connection ends

Nothing told why a client's connection was ended by this side: a failing write dropped it without a line. Each close of a client or backend connection now has a typed reason, its number or backend, the error and the ids of the requests that were owed.

--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -92,7 +92,7 @@
 	if c.closed || !closedByPeer(c.raw) {
 		return c.closed
 	}
-	in.soon = append(in.soon, func() { in.clientGone(c) })
+	in.soon = append(in.soon, func() { in.clientGone(c, peerClosed, nil) })
 	return true
 }
 
@@ -149,7 +149,11 @@
 func (in *Ingress) detach(a *attempt) {
 	in.stopTimer(a.timer)
 	if a.conn != nil {
-		in.closeConn(a.conn)
+		why := attemptGivenUp
+		if a.conn.dead.Load() {
+			why = notUsable
+		}
+		in.closeConn(a.conn, why, nil)
 		a.conn = nil
 	} else if a.be != nil {
 		a.be.waiting = slices.DeleteFunc(a.be.waiting, func(w *attempt) bool { return w == a })
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -46,6 +46,7 @@
 
 // client is one client's connection.
 type client struct {
+	number  uint64 // of the connection, counted by the listener
 	conn    *net.TCPConn
 	raw     syscall.RawConn
 	permits chan struct{} // bounds the open commands; taken by the reader
@@ -63,13 +64,15 @@
 	pending  []byte  // what the socket has not taken yet
 	held     int     // of the budget, for what is pending or being written
 	writing  bool    // a goroutine writes what was pending
+	openedAt float64
 	usedAt   float64
-	spoke    bool // a whole command has come
-	ending   bool // the last answer is written, what still comes is read and dropped
-	lingered bool // for long enough
-	surplus  bool // beyond the bound: what it asks is refused while that holds
-	asked    bool // its reader is to stand still, so that the connection can be closed
-	used     bool // since then
+	closing  closeReason // why its reader is to stand still
+	spoke    bool        // a whole command has come
+	ending   bool        // the last answer is written, what still comes is read and dropped
+	lingered bool        // for long enough
+	surplus  bool        // beyond the bound: what it asks is refused while that holds
+	asked    bool        // its reader is to stand still, so that the connection can be closed
+	used     bool        // since then
 	closed   bool
 }
 
@@ -109,11 +112,11 @@
 func (s *clientSet) sweep(in *Ingress) {
 	for c := range s.all {
 		if c.spoke && c.idle() && in.now-c.usedAt > idleMost {
-			in.endIdle(c)
+			in.endIdle(c, idleTimeout)
 		}
 		// Its reader waits for a permit and does not see the end.
 		if len(c.slots) >= pipelineMost && closedByPeer(c.raw) {
-			in.clientGone(c)
+			in.clientGone(c, peerClosed, nil)
 		}
 	}
 	s.trim(in) // nobody new may come to it who would have others make room
@@ -130,20 +133,20 @@
 func (s *clientSet) closeIdle(in *Ingress) {
 	for c := range s.all {
 		if c.idle() {
-			in.endIdle(c)
+			in.endIdle(c, draining)
 		}
 	}
 }
 
 // endIdle closes a connection between requests. Its reader may be in the middle of a command, and what it
 // posted may lie in the queue: the connection ends when it stands still and nothing of the kind was left.
-func (in *Ingress) endIdle(c *client) {
+func (in *Ingress) endIdle(c *client, why closeReason) {
 	switch {
 	case c.closed || c.asked:
 	case c.ending: // what still comes is dropped
-		in.closeClient(c)
+		in.closeClient(c, why, nil)
 	default:
-		c.asked, c.used = true, false
+		c.asked, c.used, c.closing = true, false, why
 		in.clients.going++
 		c.pausing.Store(true)
 		c.conn.SetReadDeadline(past)
@@ -159,7 +162,7 @@
 		return
 	}
 	if (in.leaving || !c.used) && c.idle() && len(c.buf.b) == 0 && silent(c.raw) {
-		in.closeClient(c)
+		in.closeClient(c, c.closing, nil)
 		return
 	}
 	c.asked = false
@@ -207,7 +210,7 @@
 		case first == nil:
 			return true
 		}
-		in.endIdle(first)
+		in.endIdle(first, evicted)
 	}
 }
 
@@ -218,6 +221,7 @@
 		l.Close()
 		in.post(in.clock.now(), func() { in.accepted = true })
 	}()
+	number := uint64(0)
 	calm := 0 // waits for a connection that none came in, after the deadline
 	words := newVocabulary(in.cfg.Settings.Settings)
 	for {
@@ -258,7 +262,8 @@
 			time.Sleep(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
-		c := &client{conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
+		number++
+		c := &client{number: number, conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
 			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}}
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
@@ -269,13 +274,13 @@
 	c.surplus = in.clients.full(in, c)
 	if c.surplus && in.clients.staying() >= in.clients.most+in.clients.surplus {
 		in.note("client turned away: too many connections", "open", in.clients.open())
-		in.closeClient(c)
+		in.closeClient(c, tooManyConnections, nil)
 		return
 	}
-	c.usedAt = in.now
+	c.openedAt, c.usedAt = in.now, in.now
 	in.clients.all[c] = struct{}{}
 	if in.leaving { // it came before the listener closed, and so does what it asks
-		in.after(lastWords.Seconds(), func() { in.endIdle(c) })
+		in.after(lastWords.Seconds(), func() { in.endIdle(c, draining) })
 	}
 }
 
@@ -325,7 +330,7 @@
 			c.refuse(in, at, errors.New("no whole command in time"))
 			return
 		case err != nil:
-			in.post(at, func() { in.clientGone(c) })
+			in.post(at, func() { in.clientGone(c, peerClosed, err) })
 			return
 		case unfinished && (used > 0 || !timed):
 			timed = true
@@ -386,7 +391,7 @@
 	gone := n < lingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
 	in.post(in.clock.now(), func() {
 		if c.lingered = true; gone || c.idle() {
-			in.clientGone(c)
+			in.clientGone(c, protocolError, bad)
 		} // else once the answers before the last one are written
 	})
 }
@@ -452,8 +457,7 @@
 	if !c.writing {
 		in.push(c)
 	} else if !in.hold(c, len(c.pending)-bytes) || len(c.pending) > pendingMost {
-		in.note("client dropped: it does not read its answers")
-		in.clientGone(c)
+		in.clientGone(c, unreadAnswers, nil)
 	}
 }
 
@@ -473,7 +477,7 @@
 	c.held = 0
 	n, err := tryWrite(c.raw, c.pending)
 	if err != nil {
-		in.clientGone(c)
+		in.clientGone(c, writeFailed, err)
 		return
 	}
 	rest := c.pending[n:]
@@ -485,8 +489,7 @@
 		return
 	}
 	if !in.hold(c, len(rest)) {
-		in.note("client dropped: too many answers are unread")
-		in.clientGone(c)
+		in.clientGone(c, memoryBudget, nil)
 		return
 	}
 	c.writing, c.pending = true, nil
@@ -497,8 +500,10 @@
 			c.writing = false
 			switch {
 			case c.closed:
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				in.clientGone(c, unreadAnswers, err)
 			case err != nil:
-				in.clientGone(c)
+				in.clientGone(c, writeFailed, err)
 			default:
 				in.push(c)
 			}
@@ -512,19 +517,19 @@
 	case c.ending && !c.lingered:
 		c.conn.CloseWrite()
 	case c.ending:
-		in.closeClient(c)
+		in.closeClient(c, lastAnswerWritten, nil)
 	case in.leaving && len(c.slots) == 0:
-		in.endIdle(c)
+		in.endIdle(c, draining)
 	}
 }
 
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
-func (in *Ingress) clientGone(c *client) {
+func (in *Ingress) clientGone(c *client, why closeReason, err error) {
 	if c.closed {
 		return
 	}
 	slots := c.slots
-	in.closeClient(c)
+	in.closeClient(c, why, err)
 	for _, s := range slots {
 		if s.req != nil && !s.req.over {
 			in.traceGone(s.req)
@@ -534,11 +539,12 @@
 	}
 }
 
-func (in *Ingress) closeClient(c *client) {
+func (in *Ingress) closeClient(c *client, why closeReason, err error) {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	in.logClientClosed(c, why, err)
 	in.input.give(c.held)
 	c.slots, c.pending, c.held = nil, nil, 0
 	if c.asked {
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -105,7 +105,7 @@
 // retire closes a backend's idle connections and, unless it is up, ends what waits for a dial.
 func (s *backendSet) retire(in *Ingress, be *backend) {
 	for len(be.idle) > 0 {
-		in.closeConn(be.idle[len(be.idle)-1])
+		in.closeConn(be.idle[len(be.idle)-1], backendRetired, nil)
 	}
 	if be.state == policy.Up {
 		return
@@ -119,7 +119,7 @@
 func (s *backendSet) sweep(in *Ingress) {
 	for _, be := range s.byID {
 		for len(be.idle) > 0 && in.now-be.idle[0].idleAt > s.idleS {
-			in.closeConn(be.idle[0])
+			in.closeConn(be.idle[0], idleTimeout, nil)
 		}
 	}
 }
@@ -133,7 +133,7 @@
 		}
 	}
 	if oldest != nil {
-		in.closeConn(oldest)
+		in.closeConn(oldest, evicted, nil)
 	}
 	return oldest != nil
 }
@@ -150,6 +150,8 @@
 	began   atomic.Uint64 // when the writing of its command did, as the bits of a float
 	writing sync.Mutex    // held while a write that the loop does not wait for goes on
 
+	writeErr error // what that write met; guarded by writing
+
 	// Loop only.
 	attempt *attempt
 	idleAt  float64
@@ -167,7 +169,7 @@
 		}
 		c := be.idle[i]
 		if c.dead.Load() || in.now-c.idleAt > in.backends.idleS || !silent(c.raw) {
-			in.closeConn(c)
+			in.closeConn(c, notUsable, nil)
 			continue
 		}
 		be.idle = slices.Delete(be.idle, i, i+1)
@@ -252,7 +254,7 @@
 			if !c.dead.Load() || c.at.Addr != be.Addr {
 				failed = policy.Moot // the backend is another one by now: it tells nothing of that
 			}
-			in.closeConn(c)
+			in.closeConn(c, notUsable, nil)
 		}
 	}
 	for len(be.waiting) > be.dials {
@@ -292,7 +294,7 @@
 func (in *Ingress) release(c *backConn) {
 	c.attempt = nil
 	if !in.usable(c) {
-		in.closeConn(c)
+		in.closeConn(c, notUsable, nil)
 		return
 	}
 	c.idleAt = in.now
@@ -322,6 +324,7 @@
 	n, err := tryWrite(c.raw, b)
 	switch {
 	case err != nil:
+		in.closeConn(c, writeFailed, err)
 		in.later(a, policy.ConnectFailed)
 	case n == len(b):
 		c.written.Store(true)
@@ -341,6 +344,7 @@
 				c.written.Store(true)
 				in.traceSent(a, c.at, from, in.clock.now())
 			} else {
+				c.writeErr = err
 				c.conn.Close() // its reader reports it
 			}
 		}()
@@ -353,17 +357,18 @@
 	if c.written.Load() {
 		return false
 	}
-	in.closeConn(c)
+	in.closeConn(c, attemptGivenUp, nil)
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	return !c.written.Load()
 }
 
-func (in *Ingress) closeConn(c *backConn) {
+func (in *Ingress) closeConn(c *backConn, why closeReason, err error) {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	in.logBackendClosed(c, why, err)
 	c.dead.Store(true)
 	c.conn.Close()
 	in.backends.open--
@@ -375,6 +380,7 @@
 	buf := buffer{budget: &in.input}
 	defer buf.free()
 	var past answers
+	var ended error // what the last read met
 	for {
 		room := buf.room()
 		if room == nil {
@@ -382,6 +388,7 @@
 			break
 		}
 		n, err := c.conn.Read(room)
+		ended = err
 		at := in.clock.now()
 		if n > 0 && !c.busy.Load() {
 			in.post(at, func() { in.note("bytes that nobody asked for", "backend", c.be.ID, "bytes", n) })
@@ -426,9 +433,12 @@
 	c.dead.Store(true)
 	c.conn.Close()
 	c.writing.Lock() // whether the command was wholly written decides what its end means
+	if c.writeErr != nil {
+		ended = c.writeErr
+	}
 	c.writing.Unlock()
 	at := in.clock.now()
-	in.post(at, func() { in.lost(c, at) })
+	in.post(at, func() { in.lost(c, ended, at) })
 }
 
 // answers are the last ones of a connection, by which a copy of one is known.
@@ -490,7 +500,8 @@
 }
 
 // lost takes the end of a connection.
-func (in *Ingress) lost(c *backConn, at float64) {
+func (in *Ingress) lost(c *backConn, err error, at float64) {
+	in.closeConn(c, peerClosed, err)
 	if a := c.attempt; a != nil && !a.done {
 		status := policy.Reset
 		if !c.written.Load() {
@@ -498,5 +509,4 @@
 		}
 		in.finish(a, result{status: status}, at)
 	}
-	in.closeConn(c)
 }
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -145,7 +145,7 @@
 	in.clients.closeIdle(in)
 	in.after(drainSpare.Seconds()/2, func() {
 		for c := range in.clients.all {
-			in.closeClient(c)
+			in.closeClient(c, drainDeadline, nil)
 		}
 		in.accepted = true // else its place is taken, and SIGKILL comes
 	})
