--- a/cmd/eiderspread/descriptors_test.go
+++ b/cmd/eiderspread/descriptors_test.go
@@ -56,6 +56,22 @@
 	return strings.Contains(o.b.String(), text)
 }
 
+// count is how often a text was logged.
+func (o *output) count(text string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return bytes.Count(o.b.Bytes(), []byte(text))
+}
+
+// tail is the end of what was logged.
+func (o *output) tail() string {
+	const most = 4000
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	b := o.b.Bytes()
+	return string(b[max(0, len(b)-most):])
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -60,10 +60,11 @@
 	errors int
 
 	// Loop only.
-	slots    []*slot // no more than permits, and one
-	pending  []byte  // what the socket has not taken yet
-	held     int     // of the budget, for what is pending or being written
-	writing  bool    // a goroutine writes what was pending
+	slots    []*slot  // no more than permits, and one
+	pending  []byte   // what the socket has not taken yet
+	unsent   []string // ids of the requests whose answers the socket has not wholly taken
+	held     int      // of the budget, for what is pending or being written
+	writing  bool     // a goroutine writes what was pending
 	openedAt float64
 	usedAt   float64
 	closing  closeReason // why its reader is to stand still
@@ -441,6 +442,9 @@
 	n, bytes := 0, len(c.pending)
 	for n < len(c.slots) && c.slots[n].answer != nil && !c.ending {
 		c.pending = append(c.pending, c.slots[n].answer...)
+		if r := c.slots[n].req; r != nil {
+			c.unsent = append(c.unsent, r.ID)
+		}
 		c.ending = c.slots[n].last
 		n++
 		select {
@@ -482,6 +486,7 @@
 	}
 	rest := c.pending[n:]
 	if len(rest) == 0 {
+		c.unsent = c.unsent[:0]
 		if c.pending = c.pending[:0]; cap(c.pending) > 4*readSize {
 			c.pending = nil
 		}
--- a/internal/ingress/reason.go
+++ b/internal/ingress/reason.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 )
 
@@ -32,8 +33,9 @@
 )
 
 // owed are the ids of the requests of a client that have no final answer yet, with those whose answer is
-// known but not written.
+// known but not wholly written.
 func (c *client) owed() (ids []string) {
+	ids = slices.Clone(c.unsent)
 	for _, s := range c.slots {
 		if s.req != nil {
 			ids = append(ids, s.req.ID)
