Leave no write deadline on a client's connection, and go by its progress

Cause: push left what a socket did not take to a goroutine that set a write deadline 5 s ahead and never cleared it. Two more ways in the same code ended a connection under an owed answer: a client that took nothing for 5 s, and one with over 1 MB unread.

--- /dev/null
+++ b/internal/ingress/client_write.go
@@ -0,0 +1,201 @@
+package ingress
+
+import (
+	"errors"
+	"math"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// How long a client may take nothing of an answer that its socket has no room for. Closing the connection
+	// under an answer loses it, so this is long; such a client makes room for others earlier.
+	stallTimeout = 30 * time.Second
+	// How long one write waits before it is looked at whether the client has taken anything.
+	writeSlice = time.Second
+	// Seconds without progress after which a client may be closed to make room for others.
+	stalledAfter = 5.0
+)
+
+// unsentAnswer is an answer that the socket has not wholly taken. It keeps its permit until then, so that a client
+// that does not read is not read from either.
+type unsentAnswer struct {
+	id     string // of the request, if it was one
+	size   int    // bytes that are left of it
+	permit bool
+}
+
+// flush writes the answers that are due, in the order of their commands.
+func (in *Ingress) flush(c *client) {
+	if c.closed {
+		return
+	}
+	n, before := 0, len(c.pending)
+	for n < len(c.slots) && c.slots[n].answer != nil && !c.ending {
+		s := c.slots[n]
+		unsent := unsentAnswer{size: len(s.answer), permit: !s.last}
+		if s.req != nil {
+			unsent.id = s.req.ID
+		}
+		c.pending = append(c.pending, s.answer...)
+		c.unsent = append(c.unsent, unsent)
+		c.ending = s.last
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	clear(c.slots[:n])
+	c.slots = c.slots[:copy(c.slots, c.slots[n:])]
+	c.usedAt, c.used = in.now, true
+	if !c.writing {
+		in.push(c)
+	} else if !in.hold(c, len(c.pending)-before) {
+		in.clientGone(c, memoryBudget, nil)
+	}
+}
+
+// hold takes from the budget for what the client has not read.
+func (in *Ingress) hold(c *client, n int) bool {
+	if !in.input.take(n) {
+		return false
+	}
+	c.held += n
+	return true
+}
+
+// sent notes that the socket has taken so many more bytes, and gives back the permits of whole answers.
+func (c *client) sent(n int) {
+	done := 0
+	for done < len(c.unsent) && n >= c.unsent[done].size {
+		n -= c.unsent[done].size
+		if c.unsent[done].permit {
+			select {
+			case <-c.permits:
+			default: // a command that never took one
+			}
+		}
+		done++
+	}
+	if c.unsent = c.unsent[:copy(c.unsent, c.unsent[done:])]; len(c.unsent) > 0 {
+		c.unsent[0].size -= n
+	}
+}
+
+// push writes what is pending: at once what the socket takes, the rest on a goroutine of its own, which
+// ends with the connection, or when the client has taken nothing for too long.
+func (in *Ingress) push(c *client) {
+	in.input.give(c.held)
+	c.held = 0
+	n, err := tryWrite(c.raw, c.pending)
+	if err != nil {
+		in.clientGone(c, writeFailed, err)
+		return
+	}
+	c.sent(n)
+	rest := c.pending[n:]
+	if len(rest) == 0 {
+		if c.pending = c.pending[:0]; cap(c.pending) > 4*readSize {
+			c.pending = nil
+		}
+		in.written(c)
+		return
+	}
+	if !in.hold(c, len(rest)) {
+		in.clientGone(c, memoryBudget, nil)
+		return
+	}
+	in.log.Info("client socket is full", "connection", c.number, "unwritten_bytes", len(rest), "owed", c.owed())
+	c.writing, c.pending = true, nil
+	progressed := func() { c.progressAt.Store(math.Float64bits(in.clock.now())) }
+	progressed()
+	go func() {
+		err := writeAll(c.conn, c.raw, rest, in.clients.stallTimeout, progressed)
+		in.post(in.clock.now(), func() { in.pushed(c, len(rest), err) })
+	}()
+}
+
+// pushed takes the end of a write that the loop did not wait for.
+func (in *Ingress) pushed(c *client, n int, err error) {
+	c.writing = false
+	switch {
+	case c.closed:
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		in.clientGone(c, unreadAnswers, err)
+	case err != nil:
+		in.clientGone(c, writeFailed, err)
+	default:
+		c.sent(n)
+		in.push(c)
+	}
+}
+
+// stalled tells that the client has taken nothing of its answers for long.
+func (c *client) stalled(now float64) bool {
+	return c.writing && now-math.Float64frombits(c.progressAt.Load()) > stalledAfter
+}
+
+// written ends a connection on which nothing more is owed, if it is to end.
+func (in *Ingress) written(c *client) {
+	switch {
+	case c.ending && !c.lingered:
+		c.conn.CloseWrite()
+	case c.ending:
+		in.closeClient(c, lastAnswerWritten, nil)
+	case in.leaving && len(c.slots) == 0:
+		in.endIdle(c, draining)
+	}
+}
+
+// writeAll writes all of b, for as long as the other end takes some of it within each stall timeout. No deadline
+// of its own outlives it. One that passed while this process stood still is no stall: the socket is asked before
+// that is told.
+func writeAll(conn *net.TCPConn, raw syscall.RawConn, b []byte, stall time.Duration, progressed func()) error {
+	defer conn.SetWriteDeadline(time.Time{})
+	last := time.Now()
+	for {
+		conn.SetWriteDeadline(time.Now().Add(min(writeSlice, stall)))
+		n, err := conn.Write(b)
+		if b = b[n:]; err == nil {
+			return nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		more, failed := tryWrite(raw, b)
+		if failed != nil {
+			return failed
+		}
+		b = b[more:]
+		switch {
+		case len(b) == 0:
+			return nil
+		case n+more > 0:
+			last = time.Now()
+			progressed()
+		case time.Since(last) >= stall:
+			return err
+		}
+	}
+}
+
+// tryWrite writes what the socket takes without waiting. No deadline of the connection matters to it.
+func tryWrite(raw syscall.RawConn, b []byte) (n int, err error) {
+	closed := raw.Control(func(fd uintptr) {
+		for {
+			n, err = syscall.Write(int(fd), b)
+			if err != syscall.EINTR {
+				return
+			}
+		}
+	})
+	switch {
+	case closed != nil:
+		return 0, closed
+	case err == syscall.EAGAIN:
+		return 0, nil
+	}
+	return max(n, 0), err
+}
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -16,8 +16,6 @@
 
 const (
 	pipelineMost = 32              // commands of one connection that may be open
-	pendingMost  = 1 << 20         // bytes that a client may leave unread
-	clientWriteS = 5 * time.Second // and for how long
 	commandMost  = 2 * time.Second // an answer is owed to what can't be read within 3 s
 	errorsMost   = 8               // bad commands of one connection; then it is closed
 	lingerMost   = 2 * time.Second // how long a refused client's bytes are read and dropped
@@ -53,18 +51,21 @@
 	quit    chan struct{} // closed with the connection
 	pausing atomic.Bool   // the loop wants the reader to stand still between commands
 	began   atomic.Bool   // something has been read
-	resume  chan struct{} // and to go on
+
+	progressAt atomic.Uint64 // when a write that the socket had no room for last went on, as the bits of a float
+
+	resume chan struct{} // and to go on
 
 	// Its reader's.
 	buf    buffer
 	errors int
 
 	// Loop only.
-	slots    []*slot  // no more than permits, and one
-	pending  []byte   // what the socket has not taken yet
-	unsent   []string // ids of the requests whose answers the socket has not wholly taken
-	held     int      // of the budget, for what is pending or being written
-	writing  bool     // a goroutine writes what was pending
+	slots    []*slot        // no more than permits, and one
+	pending  []byte         // what the socket has not taken yet
+	unsent   []unsentAnswer // the answers of which that holds the end, oldest first
+	held     int            // of the budget, for what is pending or being written
+	writing  bool           // a goroutine writes what was pending
 	openedAt float64
 	usedAt   float64
 	closing  closeReason // why its reader is to stand still
@@ -91,7 +92,8 @@
 	going   int           // connections that were asked to stand still, to be closed
 	room    chan struct{} // a place for each connection, taken before it is accepted
 
-	commandMost time.Duration // how long one may take for its first command, and for a whole one
+	stallTimeout time.Duration // see there
+	commandMost  time.Duration // how long one may take for its first command, and for a whole one
 }
 
 func (s *clientSet) init(sockets int) {
@@ -100,6 +102,7 @@
 	s.allowed = s.most
 	s.surplus = max(2, usableFDs(sockets)/8)
 	s.commandMost = commandMost
+	s.stallTimeout = stallTimeout
 	s.room = make(chan struct{}, s.most+s.surplus+acceptSlack)
 }
 
@@ -116,7 +119,7 @@
 			in.endIdle(c, idleTimeout)
 		}
 		// Its reader waits for a permit and does not see the end.
-		if len(c.slots) >= pipelineMost && closedByPeer(c.raw) {
+		if len(c.slots)+len(c.unsent) >= pipelineMost && closedByPeer(c.raw) {
 			in.clientGone(c, peerClosed, nil)
 		}
 	}
@@ -175,9 +178,12 @@
 
 // rank orders the connections that may be closed for others: first those that were told their last
 // answer, then those that have said nothing, then those that idle, then those whose first word has come but
-// was not heard yet: they could not be closed, and others would have to wait for that.
+// was not heard yet: they could not be closed, and others would have to wait for that. Those that have taken
+// nothing of their answers for long come last.
 func (c *client) rank() int {
 	switch {
+	case c.writing:
+		return 4
 	case c.ending:
 		return 0
 	case c.spoke:
@@ -198,7 +204,7 @@
 			if c == newcomer || c.asked { // as good as gone
 				continue
 			}
-			if others++; !c.idle() {
+			if others++; !c.idle() && !c.stalled(in.now) {
 				continue
 			}
 			if rank := c.rank(); first == nil || rank < lowest || rank == lowest && c.usedAt < first.usedAt {
@@ -211,7 +217,11 @@
 		case first == nil:
 			return true
 		}
-		in.endIdle(first, evicted)
+		if first.writing {
+			in.clientGone(first, evicted, nil)
+		} else {
+			in.endIdle(first, evicted)
+		}
 	}
 }
 
@@ -434,100 +444,6 @@
 	in.flush(c)
 }
 
-// flush writes the answers that are due, in the order of their commands.
-func (in *Ingress) flush(c *client) {
-	if c.closed {
-		return
-	}
-	n, bytes := 0, len(c.pending)
-	for n < len(c.slots) && c.slots[n].answer != nil && !c.ending {
-		c.pending = append(c.pending, c.slots[n].answer...)
-		if r := c.slots[n].req; r != nil {
-			c.unsent = append(c.unsent, r.ID)
-		}
-		c.ending = c.slots[n].last
-		n++
-		select {
-		case <-c.permits:
-		default: // the last answer took none
-		}
-	}
-	if n == 0 {
-		return
-	}
-	clear(c.slots[:n])
-	c.slots = c.slots[:copy(c.slots, c.slots[n:])]
-	c.usedAt, c.used = in.now, true
-	if !c.writing {
-		in.push(c)
-	} else if !in.hold(c, len(c.pending)-bytes) || len(c.pending) > pendingMost {
-		in.clientGone(c, unreadAnswers, nil)
-	}
-}
-
-// hold takes from the budget for what the client has not read.
-func (in *Ingress) hold(c *client, n int) bool {
-	if !in.input.take(n) {
-		return false
-	}
-	c.held += n
-	return true
-}
-
-// push writes what is pending: at once what the socket takes, the rest on a goroutine of its own, which
-// ends with its deadline or the connection.
-func (in *Ingress) push(c *client) {
-	in.input.give(c.held)
-	c.held = 0
-	n, err := tryWrite(c.raw, c.pending)
-	if err != nil {
-		in.clientGone(c, writeFailed, err)
-		return
-	}
-	rest := c.pending[n:]
-	if len(rest) == 0 {
-		c.unsent = c.unsent[:0]
-		if c.pending = c.pending[:0]; cap(c.pending) > 4*readSize {
-			c.pending = nil
-		}
-		in.written(c)
-		return
-	}
-	if !in.hold(c, len(rest)) {
-		in.clientGone(c, memoryBudget, nil)
-		return
-	}
-	c.writing, c.pending = true, nil
-	go func() {
-		c.conn.SetWriteDeadline(time.Now().Add(clientWriteS))
-		_, err := c.conn.Write(rest)
-		in.post(in.clock.now(), func() {
-			c.writing = false
-			switch {
-			case c.closed:
-			case errors.Is(err, os.ErrDeadlineExceeded):
-				in.clientGone(c, unreadAnswers, err)
-			case err != nil:
-				in.clientGone(c, writeFailed, err)
-			default:
-				in.push(c)
-			}
-		})
-	}()
-}
-
-// written ends a connection on which nothing more is owed, if it is to end.
-func (in *Ingress) written(c *client) {
-	switch {
-	case c.ending && !c.lingered:
-		c.conn.CloseWrite()
-	case c.ending:
-		in.closeClient(c, lastAnswerWritten, nil)
-	case in.leaving && len(c.slots) == 0:
-		in.endIdle(c, draining)
-	}
-}
-
 // clientGone takes a client's hang-up: nothing is owed for what it had asked.
 func (in *Ingress) clientGone(c *client, why closeReason, err error) {
 	if c.closed {
@@ -560,22 +476,3 @@
 	delete(in.clients.all, c)
 	<-in.clients.room
 }
-
-// tryWrite writes what the socket takes without waiting.
-func tryWrite(raw syscall.RawConn, b []byte) (n int, err error) {
-	closed := raw.Write(func(fd uintptr) bool {
-		for {
-			n, err = syscall.Write(int(fd), b)
-			if err != syscall.EINTR {
-				return true
-			}
-		}
-	})
-	switch {
-	case closed != nil:
-		return 0, closed
-	case err == syscall.EAGAIN:
-		return 0, nil
-	}
-	return max(n, 0), err
-}
--- a/internal/ingress/reason.go
+++ b/internal/ingress/reason.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 )
 
@@ -35,7 +34,11 @@
 // owed are the ids of the requests of a client that have no final answer yet, with those whose answer is
 // known but not wholly written.
 func (c *client) owed() (ids []string) {
-	ids = slices.Clone(c.unsent)
+	for _, u := range c.unsent {
+		if u.id != "" {
+			ids = append(ids, u.id)
+		}
+	}
 	for _, s := range c.slots {
 		if s.req != nil {
 			ids = append(ids, s.req.ID)
