Take the starts of backends into the process's own time, whatever the wall clock does

Cause: the loop's time is the wall clock of the start plus monotonic time, and started_ms was compared with it as it came; after a step of the wall clock ages were off by the step, and after a step back a restart was not seen, as only a later start counted as one. Change: the offset of the two clocks is followed, each start is taken over once, by the epoch in which the wall clock can have shown it (the latest where it showed it twice), and another start is a restart.

--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -82,12 +82,14 @@
 
 // takeList applies a list to the pools and tells the module.
 func (in *Ingress) takeList(t targets) {
+	in.starts.sample(in.clock.now(), in.clock.wall())
 	list := make([]policy.Server, 0, len(t.Servers))
 	for _, s := range t.Servers {
 		list = append(list, policy.Server{ID: s.ID, Zone: s.Zone, Cell: s.Cell, State: targetStates[s.State],
-			Weight: s.Weight, SinceS: float64(s.StartedMS) / 1000})
+			Weight: s.Weight, SinceS: in.starts.of(s.ID, s.StartedMS)})
 	}
 	in.backends.apply(in, t)
+	in.starts.forget(func(id string) bool { return in.backends.byID[id] != nil })
 	in.gate.Servers(in.now, list, t.Full)
 }
 
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -44,13 +44,16 @@
 type clock struct {
 	base time.Time
 	unix float64
+	wall func() float64 // the wall clock, which may be stepped
 }
 
 func newClock() clock {
 	t := time.Now()
-	return clock{t, float64(t.UnixNano()) / 1e9}
+	return clock{t, unixSeconds(t), func() float64 { return unixSeconds(time.Now()) }}
 }
 
+func unixSeconds(t time.Time) float64 { return float64(t.UnixNano()) / 1e9 }
+
 func (c clock) now() float64 { return c.unix + time.Since(c.base).Seconds() }
 
 // at is the time that the clock shows so many seconds at.
@@ -110,6 +113,7 @@
 	dialAgent func(ctx context.Context, network, addr string) (net.Conn, error)
 	turn      func()       // lets readers run
 	spare     func() error // tells whether a descriptor is to be had
+	starts    startTimes
 	listener  *net.TCPListener
 	clients   clientSet
 	requests  map[string]*request
@@ -147,6 +151,7 @@
 		dialAgent: (&net.Dialer{Timeout: time.Second}).DialContext,
 		turn:      func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
 	in.now = in.clock.now()
+	in.starts.sample(in.now, in.clock.wall())
 	in.readyAt = in.now + readyMost.Seconds()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
@@ -187,6 +192,7 @@
 		go in.peers.receive()
 	}
 	in.every(sweepEvery, func() {
+		in.starts.sample(in.clock.now(), in.clock.wall())
 		in.backends.sweep(in)
 		in.clients.sweep(in)
 		in.checkDescriptors()
--- a/policy/api.go
+++ b/policy/api.go
@@ -94,7 +94,7 @@
 	Cell     int
 	State    State
 	Weight   float64
-	SinceS   float64 // when its process started; 0: long ago
+	SinceS   float64 // when its process started, in the time of the events; 0: long ago; another one: it has restarted
 }
 
 // Request is a client's request that this gateway now owes one final answer.
--- a/policy/state.go
+++ b/policy/state.go
@@ -72,7 +72,7 @@
 			s.turn = g.firstTurn(s)
 			g.servers[e.ID] = s
 			g.index(s)
-		} else if e.SinceS > s.SinceS {
+		} else if e.SinceS != s.SinceS && e.SinceS > 0 {
 			restarted(s)
 		}
 		s.Server, s.listed = e, e.State != Removed
