Bear system calls that fail for a moment, through one seam that tests inject into

Cause: the listener, the peer socket and the configuration were tried once at the start, so ENFILE or ENOBUFS for a moment was a refusal to start; a read or a write that failed for want of buffers ended a connection with what was owed on it; a dial that failed with ENOBUFS, ENETUNREACH or ECONNABORTED counted against its backend; a datagram socket that kept failing was read in a busy loop. Change: all calls go through systemCalls; what the machine may have again in a moment is tried again (20 s at the start, 0.25 s for a dial), connections bear it, and only errors that may be the backend's count against it.

--- a/cmd/eiderspread/main.go
+++ b/cmd/eiderspread/main.go
@@ -40,7 +40,9 @@
 	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read when it is taken
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	cfg, err := ingress.ReadConfig(path)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cfg, err := ingress.RetryAtStart(ctx, func() (ingress.Config, error) { return ingress.ReadConfig(path) })
 	if err != nil {
 		return err
 	}
@@ -55,8 +57,6 @@
 		}
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("ingress", cfg.Name)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	reread := make(chan ingress.Config)
 	done := make(chan struct{})
 	defer close(done)
@@ -75,7 +75,7 @@
 			return
 		}
 		cfg, err := ingress.ReadConfig(path)
-		for ingress.OutOfDescriptors(err) { // the ingress makes room meanwhile; the signal must not be lost for it
+		for ingress.Transient(err) { // the ingress may make room meanwhile; the signal must not be lost for it
 			select {
 			case <-time.After(retryEvery):
 			case <-done:
--- a/internal/ingress/client_write.go
+++ b/internal/ingress/client_write.go
@@ -88,7 +88,7 @@
 func (in *Ingress) push(c *client) {
 	in.input.give(c.held)
 	c.held = 0
-	n, err := tryWrite(c.raw, c.pending)
+	n, err := in.tryWrite(c.raw, c.pending)
 	if err != nil {
 		in.clientGone(c, writeFailed, err)
 		return
@@ -111,7 +111,7 @@
 	progressed := func() { c.progressAt.set(in.clock.now()) }
 	progressed()
 	go func() {
-		err := writeAll(c.conn, c.raw, rest, in.clients.stallTimeout, progressed)
+		err := in.writeAll(c.conn, c.raw, rest, in.clients.stallTimeout, progressed)
 		in.post(in.clock.now(), func() { in.pushed(c, len(rest), err) })
 	}()
 }
@@ -151,7 +151,7 @@
 // writeAll writes all of b, for as long as the other end takes some of it within each stall timeout. No deadline
 // of its own outlives it. One that passed while this process stood still is no stall: the socket is asked before
 // that is told.
-func writeAll(conn *net.TCPConn, raw syscall.RawConn, b []byte, stall time.Duration, progressed func()) error {
+func (in *Ingress) writeAll(conn net.Conn, raw syscall.RawConn, b []byte, stall time.Duration, progressed func()) error {
 	defer conn.SetWriteDeadline(time.Time{})
 	last := time.Now()
 	for {
@@ -163,7 +163,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		more, failed := tryWrite(raw, b)
+		more, failed := in.tryWrite(raw, b)
 		if failed != nil {
 			return failed
 		}
@@ -180,20 +180,14 @@
 	}
 }
 
-// tryWrite writes what the socket takes without waiting. No deadline of the connection matters to it.
-func tryWrite(raw syscall.RawConn, b []byte) (n int, err error) {
-	closed := raw.Control(func(fd uintptr) {
-		for {
-			n, err = syscall.Write(int(fd), b)
-			if err != syscall.EINTR {
-				return
-			}
-		}
-	})
+// tryWrite writes what the socket takes without waiting, which may be nothing. No deadline of the connection matters
+// to it.
+func (in *Ingress) tryWrite(raw syscall.RawConn, b []byte) (n int, err error) {
+	closed := raw.Control(func(fd uintptr) { n, err = in.calls.write(int(fd), b) })
 	switch {
 	case closed != nil:
 		return 0, closed
-	case err == syscall.EAGAIN:
+	case scarce(err):
 		return 0, nil
 	}
 	return max(n, 0), err
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -45,7 +45,7 @@
 // client is one client's connection.
 type client struct {
 	number  uint64 // of the connection, counted by the listener
-	conn    *net.TCPConn
+	conn    connection
 	raw     syscall.RawConn
 	permits chan struct{} // bounds the open commands; taken by the reader
 	quit    chan struct{} // closed with the connection
@@ -243,7 +243,7 @@
 			return
 		}
 		from := time.Now()
-		conn, err := l.AcceptTCP()
+		conn, err := in.calls.accept(l)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -271,11 +271,11 @@
 				in.note("accept failed", "error", err)
 				in.starved(err)
 			})
-			time.Sleep(acceptRetry) // out of descriptors: others must end first
+			in.calls.wait(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
 		number++
-		c := &client{number: number, conn: conn, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
+		c := &client{number: number, conn: steadyConn{conn, in.calls.wait}, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
 			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}, arrivals: arrivals{in.pace.keptUpUntil(at)}}
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
--- a/internal/ingress/descriptors.go
+++ b/internal/ingress/descriptors.go
@@ -1,10 +1,6 @@
 package ingress
 
-import (
-	"errors"
-	"os"
-	"syscall"
-)
+import "os"
 
 // Descriptors: the bounds on connections leave a reserve, and where the process gets fewer than its
 // configuration says, idle clients make room, so that discovery, backends and files are never kept waiting.
@@ -16,11 +12,6 @@
 	backShare = 32
 )
 
-// OutOfDescriptors tells whether a call failed since this process, or the machine, has none left.
-func OutOfDescriptors(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
-}
-
 // spareDescriptor fails if no descriptor is to be had.
 func spareDescriptor() error {
 	f, err := os.Open(os.DevNull)
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -114,7 +114,7 @@
 func (in *Ingress) watchDiscovery(ctx context.Context, reread <-chan Config) {
 	w := &watcher{in: in, addr: in.cfg.Discovery, version: in.cfg.Known.Version,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
-			DialContext: in.dialAgent}}}
+			DialContext: in.calls.dialAgent}}}
 	bad := badAgainFirst
 	for ctx.Err() == nil {
 		round, stop := context.WithCancel(ctx)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -110,7 +110,7 @@
 	silence   time.Duration                        // of discovery, that tells that an answer has broken off
 	askAgain  time.Duration                        // until an agent that does not answer is asked again
 	alarm     func(time.Duration, func()) alarm    // of discovery
-	dialAgent func(ctx context.Context, network, addr string) (net.Conn, error)
+	calls     systemCalls
 	turn      func()       // lets readers run
 	spare     func() error // tells whether a descriptor is to be had
 	starts    startTimes
@@ -128,7 +128,7 @@
 // Run serves until ctx ends and then drains. It returns nil after a complete drain. Of each
 // configuration that comes on reread, which may be nil, the address of discovery is taken over.
 func Run(ctx context.Context, cfg Config, reread <-chan Config, log *slog.Logger) error {
-	in, err := open(cfg, log)
+	in, err := open(ctx, cfg, log, realCalls())
 	if err != nil {
 		return err
 	}
@@ -142,29 +142,30 @@
 }
 
 // open makes an ingress and its sockets; nothing is read from them yet.
-func open(cfg Config, log *slog.Logger) (*Ingress, error) {
+func open(ctx context.Context, cfg Config, log *slog.Logger, calls systemCalls) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
 		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After, silence: watchSilence,
-		askAgain:  askAgainAfter(cfg.Settings.StopSendingS),
-		alarm:     func(d time.Duration, do func()) alarm { return time.AfterFunc(d, do) },
-		dialAgent: (&net.Dialer{Timeout: time.Second}).DialContext,
-		turn:      func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
+		askAgain: askAgainAfter(cfg.Settings.StopSendingS),
+		alarm:    func(d time.Duration, do func()) alarm { return time.AfterFunc(d, do) },
+		calls:    calls,
+		turn:     func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
 	in.now = in.clock.now()
 	in.starts.sample(in.now, in.clock.wall())
 	in.readyAt = in.now + readyMost.Seconds()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
-	in.backends.init(cfg)
+	in.backends.init(cfg, calls)
 	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	if in.listener, err = net.ListenTCP("tcp", addr); err != nil {
+	in.listener, err = retryAtStart(ctx, func() (*net.TCPListener, error) { return calls.listen(addr) }, calls.wait, time.Now)
+	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	if cfg.Settings.Peers {
-		if in.peers, err = in.openPeers(); err != nil {
+		if in.peers, err = in.openPeers(ctx); err != nil {
 			in.listener.Close()
 			return nil, err
 		}
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"time"
 
 	"cometpond/policy"
 )
@@ -26,8 +28,9 @@
 	data []byte
 }
 
-func (in *Ingress) openPeers() (*peerLink, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(in.cfg.PeerListen))
+func (in *Ingress) openPeers(ctx context.Context) (*peerLink, error) {
+	addr := net.UDPAddrFromAddrPort(in.cfg.PeerListen)
+	conn, err := retryAtStart(ctx, func() (*net.UDPConn, error) { return in.calls.listenPacket(addr) }, in.calls.wait, time.Now)
 	if err != nil {
 		return nil, fmt.Errorf("peer_listen: %w", err)
 	}
@@ -64,7 +67,7 @@
 
 func (p *peerLink) send() {
 	for d := range p.queue {
-		p.conn.WriteToUDPAddrPort(d.data, d.to) // may be lost anyway
+		p.in.calls.writePacket(p.conn, d.data, d.to) // may be lost anyway
 	}
 }
 
@@ -77,11 +80,12 @@
 	}
 	buf := make([]byte, maxDatagram+1)
 	for {
-		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := in.calls.readPacket(p.conn, buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		} else if err != nil {
-			continue // such as a refused datagram that comes back
+			in.calls.wait(scarceRetry) // such as a refused datagram that comes back
+			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		number, known := numbers[from]
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -34,6 +34,8 @@
 	longCommand  = 16 << 10
 	reserveShare = 0.25
 	reserveMost  = 0.5
+	// How long a dial that fails for something on this side is tried again.
+	ownRetryMost = 250 * time.Millisecond
 )
 
 var (
@@ -58,12 +60,13 @@
 	idleS float64
 	copyS float64 // see there; never changes
 
-	writeSlack float64 // see there; never changes
+	writeSlack float64       // see there; never changes
+	ownRetry   time.Duration // how long a dial that fails for something on this side is tried again
 	dial       func(addr string) (net.Conn, error)
 	wrote      func(*backConn) // between the last byte of a command that took long and the note of it
 }
 
-func (s *backendSet) init(cfg Config) {
+func (s *backendSet) init(cfg Config, calls systemCalls) {
 	s.byID = map[string]*backend{}
 	s.wrote = func(*backConn) {}
 	s.most = max(8, usableFDs(cfg.Sockets)*3/8)
@@ -71,7 +74,8 @@
 	s.writeSlack = writeSlack
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
-	s.dial = func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) }
+	s.dial = func(addr string) (net.Conn, error) { return calls.dial(addr, timeout) }
+	s.ownRetry = min(timeout, ownRetryMost)
 }
 
 // ready tells whether a request could be sent anywhere.
@@ -152,7 +156,7 @@
 type backConn struct {
 	be      *backend
 	at      target // as the backend stood when it was dialled
-	conn    *net.TCPConn
+	conn    connection
 	raw     syscall.RawConn
 	busy    atomic.Bool // a reply is expected
 	dead    atomic.Bool // not to be used again
@@ -234,10 +238,18 @@
 
 // dial makes one connection. Its goroutine ends with the dial's time-out at the latest.
 func (in *Ingress) dial(be *backend, at target) {
+	from := in.clock.now()
 	conn, err := in.backends.dial(at.Addr)
+	for first := true; ownFault(err) && in.clock.now()-from < in.backends.ownRetry.Seconds(); first = false {
+		if failed := err; first {
+			in.post(in.clock.now(), func() { in.starved(failed) })
+		}
+		in.calls.wait(scarceRetry)
+		conn, err = in.backends.dial(at.Addr)
+	}
 	var c *backConn
 	if err == nil {
-		c = &backConn{be: be, at: at, conn: conn.(*net.TCPConn)}
+		c = &backConn{be: be, at: at, conn: steadyConn{conn.(connection), in.calls.wait}}
 		if c.raw, err = c.conn.SyscallConn(); err != nil {
 			conn.Close()
 			c = nil
@@ -253,8 +265,8 @@
 	if c == nil {
 		in.backends.open--
 		in.note("dial failed", "backend", be.ID, "error", err)
-		if in.starved(err) || errors.Is(err, syscall.EADDRNOTAVAIL) {
-			failed = policy.Moot // for want of something here: it tells nothing of the backend
+		if in.starved(err); ownFault(err) {
+			failed = policy.Moot // it tells nothing of the backend
 		}
 	} else {
 		go c.read(in)
@@ -332,7 +344,7 @@
 	c.written.Store(false)
 	c.busy.Store(true)
 	c.began.set(from)
-	n, err := tryWrite(c.raw, b)
+	n, err := in.tryWrite(c.raw, b)
 	switch {
 	case err != nil:
 		in.closeConn(c, writeFailed, err)
--- a/internal/ingress/start_times.go
+++ b/internal/ingress/start_times.go
@@ -12,8 +12,8 @@
 	stepLeast = 0.25
 	// Steps that are remembered. A start is told at most some seconds after it happened.
 	epochsKept = 16
-	// How far in the future a start may lie and count as now: machines read the clock at different moments.
-	futureSlack = 0.5
+	// By how much a start may lie outside of an epoch, or in the future: machines read the clock at different moments.
+	startSlack = 0.5
 )
 
 // wallEpoch is a time between two steps of the wall clock.
@@ -73,11 +73,11 @@
 	latest, found := 0.0, false
 	for i, e := range s.epochs {
 		at := unix - e.offset
-		until := now + futureSlack
+		until := now + startSlack
 		if i+1 < len(s.epochs) {
 			until = s.epochs[i+1].from
 		}
-		if at < e.earliest || at > until {
+		if at < e.earliest-startSlack || at > until {
 			continue
 		}
 		if at = min(at, now); !found || at > latest {
