--- a/cmd/eiderspread/program_test.go
+++ b/cmd/eiderspread/program_test.go
@@ -27,6 +27,7 @@
 	discovery string // by default an address that refuses
 	backends  []string
 	classes   string // profiles as JSON; by default one class that may be repeated
+	limits    string // as JSON, without braces
 	sockets   int
 }
 
@@ -55,14 +56,17 @@
 	if c.classes == "" {
 		c.classes = defaultClasses
 	}
+	if c.limits == "" {
+		c.limits = `"dialTimeoutS":1,"connIdleS":15,"maxAttempts":3`
+	}
 	if c.sockets == 0 {
 		c.sockets = 1024
 	}
 	return fmt.Sprintf(`{"name":"n0","listen":"%s","discovery":"%s","seed":"1",
 		"limits":{"sockets":%d,"memory_mb":128},"known":{"version":1,"servers":[%s]},
-		"settings":{"balancers":1,"limits":{"dialTimeoutS":1,"connIdleS":15,"maxAttempts":3},"profiles":%s,
+		"settings":{"balancers":1,"limits":{%s},"profiles":%s,
 		"packages":[{"name":"basic","unitsPerS":1000000,"peakUnits":1000000,"pays":1}]}}`,
-		listen, c.discovery, c.sockets, strings.Join(known, ","), c.classes)
+		listen, c.discovery, c.sockets, strings.Join(known, ","), c.limits, c.classes)
 }
 
 // startProgram starts the program and waits until it answers. It is killed with the end of the test, and its
