--- a/cmd/eiderspread/program_test.go
+++ b/cmd/eiderspread/program_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -106,6 +107,26 @@
 	return p
 }
 
+// stop has the process stand still, and waits until all of it does. SIGCONT ends that.
+func (p *program) stop() {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		p.t.Fatal(err)
+	}
+	tasks := fmt.Sprintf("/proc/%d/task", p.cmd.Process.Pid)
+	eventually(p.t, "the process stands still", func() bool {
+		threads, err := os.ReadDir(tasks)
+		for _, thread := range threads {
+			text, _ := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+			_, state, _ := strings.Cut(string(text), ") ")
+			if !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return err == nil && len(threads) > 0
+	})
+}
+
 // dial connects as a client.
 func (p *program) dial() *net.TCPConn {
 	p.t.Helper()
