--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -30,6 +30,13 @@
 	errValueEnd  = errors.New("value and length differ")
 )
 
+// syntaxError is what makes the rest of a client's connection unreadable, in the words that its client gets.
+type syntaxError struct{ cause error }
+
+func (e syntaxError) Error() string { return "Protocol error: " + e.cause.Error() }
+
+func (e syntaxError) Unwrap() error { return e.cause }
+
 // header reads the line that b starts with: a type and a length, in digits alone. n is what it takes,
 // 0 if it is not whole yet. A length of -1 is told by null.
 func header(b []byte) (length, n int, null bool, err error) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,8 +1,18 @@
 // Package policy decides for one gateway of a fleet that keeps every customer
 // of a shared back end to its plan. It holds no clock, no randomness of its own
 // and no network: time and seed come in as values, and what is to be done goes
-// out through Actions. policy.go holds every decision; this file is its
-// interface; message.go is the encoding of the messages between gateways.
+// out through Actions.
+//
+// Every customer is hashed on a ring of gateways to one owner, which alone keeps
+// its window count against the whole quota. The others tell the owner their
+// counts in batches, pass only their split of the room it last reported, and fall
+// back to a local window when it is silent.
+//
+// This file is the interface. A request goes through admission.go, quota.go or
+// ledger.go, parallel.go, server_choice.go with slow_start.go, and retries.go;
+// ring.go, reports.go and message.go are the exchange between gateways;
+// server_list.go and server_health.go keep what is known of servers; gateway.go
+// holds the state.
 package policy
 
 // Effect tells whether a class of request may run more than once.
@@ -94,7 +104,7 @@
 	Cell     int
 	State    State
 	Weight   float64
-	SinceS   float64 // when its process started, in the time of the events; 0: long ago; another one: it has restarted
+	SinceS   float64 // start of its process in event time; 0: long ago; a change: it has restarted
 }
 
 // Request is a client's request that this gateway now owes one final answer.
--- a/policy/message.go
+++ b/policy/message.go
@@ -6,7 +6,7 @@
 )
 
 // The bytes of a message between gateways: a header, then records of fixed
-// size. What goes in, when and to whom is decided in policy.go.
+// size. What goes in, when and to whom is decided in reports.go.
 
 const (
 	msgVersion = 2
@@ -166,7 +166,8 @@
 		if class == loadByte {
 			class = loadItem
 		}
-		items = append(items, item{binary.BigEndian.Uint16(b), class, float64(b[3]) / 255, now - float64(b[4])*itemStep})
+		at := now - float64(b[4])*itemStep
+		items = append(items, item{binary.BigEndian.Uint16(b), class, float64(b[3]) / 255, at})
 	}
 	return boot, seq, recs, items, true
 }
