--- a/cmd/eiderspread/descriptors_test.go
+++ b/cmd/reedlead/descriptors_test.go
@@ -20,7 +20,7 @@
 )
 
 // asProgram is the environment that has the test's own program run as an ingress, with so many descriptors.
-const asProgram = "EIDERSPREAD_TEST_DESCRIPTORS"
+const asProgram = "REEDLEAD_TEST_DESCRIPTORS"
 
 func TestMain(m *testing.M) {
 	if text := os.Getenv(asProgram); text != "" {
--- a/cmd/eiderspread/faults_test.go
+++ b/cmd/reedlead/faults_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/faultproxy"
+	"reedlead/internal/faultproxy"
 )
 
 var (
--- a/cmd/eiderspread/main.go
+++ b/cmd/reedlead/main.go
@@ -1,4 +1,4 @@
-// Command eiderspread is one real ingress: the decision module on sockets.
+// Command reedlead is one real ingress: the decision module on sockets.
 package main
 
 import (
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"cometpond/internal/ingress"
+	"reedlead/internal/ingress"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 func main() {
 	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "eiderspread:", err)
+		fmt.Fprintln(os.Stderr, "reedlead:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/eiderspread/main_test.go
+++ b/cmd/reedlead/main_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"cometpond/internal/ingress"
+	"reedlead/internal/ingress"
 )
 
 // Guards against a start that hangs or panics on a configuration that can't be used: it must be
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,9 +7,9 @@
 	"io"
 	"os"
 
-	"cometpond/internal/settings"
-	"cometpond/internal/wire"
-	"cometpond/policy"
+	"reedlead/internal/settings"
+	"reedlead/internal/wire"
+	"reedlead/policy"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const settingsText = `{"balancers":2,"me":%d,"limits":{"maxAttempts":3,"peerMessages":true},"familyInfo":{"peerIntake":40},` +
--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 var toldField = regexp.MustCompile(`d=(\d+)`)
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -6,7 +6,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const probeS = 0.25 // how long a probe's answer is waited for
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -12,7 +12,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // call is a client's request as it was read: what the module has to know of it, and the command
--- a/internal/ingress/client_write_test.go
+++ b/internal/ingress/client_write_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // connected is both ends of a connection over loopback.
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -8,7 +8,7 @@
 	"reflect"
 	"strconv"
 
-	"cometpond/internal/settings"
+	"reedlead/internal/settings"
 )
 
 // Config is what an ingress is told at its start.
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const (
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // busy has the module refuse each request, so that the answer tells that it was asked.
--- a/internal/ingress/fuzz_test.go
+++ b/internal/ingress/fuzz_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // FuzzCommand guards the readers of clients, in which a panic would end the process: whatever comes,
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -20,8 +20,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/internal/settings"
-	"cometpond/policy"
+	"reedlead/internal/settings"
+	"reedlead/policy"
 )
 
 // patience bounds how long a test waits for what must come. It decides nothing but when to give up.
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -12,7 +12,7 @@
 	"runtime/debug"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const (
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // still has the loop stand still while meanwhile runs, and then until holds: what comes meanwhile is not
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -8,7 +8,7 @@
 	"net/netip"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const (
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const (
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 const value = "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n"
--- a/internal/ingress/reply.go
+++ b/internal/ingress/reply.go
@@ -7,8 +7,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/internal/settings"
-	"cometpond/policy"
+	"reedlead/internal/settings"
+	"reedlead/policy"
 )
 
 // result is how an attempt ended.
--- a/internal/ingress/size_test.go
+++ b/internal/ingress/size_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // manyMost is the number of gateways and of backends below which nothing may be capped.
--- a/internal/ingress/start_times_test.go
+++ b/internal/ingress/start_times_test.go
@@ -5,7 +5,7 @@
 	"math"
 	"testing"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // steppedClock is a wall clock that is stepped at times of the process.
--- a/internal/ingress/system_calls_test.go
+++ b/internal/ingress/system_calls_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // failFirst has a call fail so many times with an error, and then be made.
--- a/internal/ingress/trace.go
+++ b/internal/ingress/trace.go
@@ -4,7 +4,7 @@
 	"context"
 	"log/slog"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // The trace: with a log at debug level each request's way can be followed by its id, through every
--- a/internal/ingress/window_test.go
+++ b/internal/ingress/window_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // passes waits until the clock has passed a time.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // wireSettings is the settings object as the wire words it; unknown keys are skipped.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 func TestParse(t *testing.T) {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cometpond/policy"
+	"reedlead/policy"
 )
 
 // ingress is the least that an ingress has to do: carry out what the gateway asks.
