--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -207,7 +207,7 @@
 }
 
 var statuses = map[int]policy.Status{200: policy.OK, 500: policy.Error, 503: policy.Full, 504: policy.Timeout,
-	502: policy.ConnectFailed, 598: policy.Reset, 499: policy.Cancelled, 410: policy.Moot}
+	502: policy.ConnectFailed, 598: policy.Reset, 499: policy.Cancelled, 410: policy.NotSent}
 
 func (f *fields) load() *policy.Load {
 	r := settings.NoLoad
--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -58,7 +58,7 @@
 		passes(r.in, r.in.now+0.02)
 		r.in.Send("a", "s0", 0, 0)
 	})
-	if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+	if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
 		t.Errorf("got %+v", o)
 	}
 	r.do(func() { r.in.takeList(targets{Full: true}) })
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -13,39 +13,39 @@
 
 // attempt is one send of a request to a backend, or with no request a probe.
 type attempt struct {
-	req    *request
-	be     *backend
-	number int
-	sentAt float64
-	until  float64 // when the ingress stops waiting
-	whole  float64 // when the last byte must be out, by the clock and not by the loop's time; +Inf: at any time
-	timer  *timer  // rings then
-	conn   *backConn
-	done   bool
+	req           *request
+	be            *backend
+	number        int
+	sentAt        float64
+	until         float64 // when the ingress stops waiting
+	writeDeadline float64 // when the last byte must be out, by the clock and not by the loop's time; +Inf: at any time
+	timer         *timer  // rings then
+	conn          *backConn
+	done          bool
 }
 
 // Send implements policy.Actions.
-func (in *Ingress) Send(id, server string, timeoutS, wholeS float64) {
+func (in *Ingress) Send(id, server string, timeoutS, writeWithinS float64) {
 	r := in.requests[id]
 	if r == nil {
-		in.note("send for a request that is not open", "id", id)
+		in.warn("send for a request that is not open", "id", id)
 		return
 	}
 	a := &attempt{req: r, be: in.backends.byID[server], number: len(r.attempts), sentAt: in.now, until: r.deadline,
-		whole: math.Inf(1)}
+		writeDeadline: math.Inf(1)}
 	if timeoutS != 0 {
 		a.until = min(a.until, in.now+timeoutS)
 	}
-	if wholeS != 0 {
-		a.whole = in.now + wholeS
+	if writeWithinS != 0 {
+		a.writeDeadline = in.now + writeWithinS
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	switch {
-	case len(r.attempts) > max(1, in.cfg.Settings.MaxAttempts) || (in.unsendable(a) || in.overtaken(r)) && timeoutS >= 0:
-		in.later(a, policy.Moot)
+	case len(r.attempts) > max(1, in.cfg.Settings.MaxAttempts) || (in.unsendable(a) || in.superseded(r)) && timeoutS >= 0:
+		in.finishDeferred(a, policy.NotSent)
 	case timeoutS < 0:
-		in.later(a, policy.Timeout)
+		in.finishDeferred(a, policy.Timeout)
 	default:
 		in.start(a)
 	}
@@ -54,15 +54,15 @@
 // Cancel implements policy.Actions.
 func (in *Ingress) Cancel(id string, number int) {
 	if r := in.requests[id]; r != nil && number >= 0 && number < len(r.attempts) && !r.attempts[number].done {
-		in.later(r.attempts[number], policy.Cancelled)
+		in.finishDeferred(r.attempts[number], policy.Cancelled)
 	}
 }
 
 // Probe implements policy.Actions.
 func (in *Ingress) Probe(server string) {
-	a := &attempt{be: in.backends.byID[server], sentAt: in.now, until: in.now + probeS, whole: math.Inf(1)}
+	a := &attempt{be: in.backends.byID[server], sentAt: in.now, until: in.now + probeS, writeDeadline: math.Inf(1)}
 	if a.be == nil {
-		in.note("probe of a backend that is not listed", "id", server)
+		in.warn("probe of a backend that is not listed", "id", server)
 		return
 	}
 	in.start(a)
@@ -73,10 +73,10 @@
 	return a.be == nil || a.be.state != policy.Up || a.req != nil && a.req.over || in.now >= a.until
 }
 
-// overtaken tells that what would make a send of the request needless or wrong has come, though the loop
+// superseded tells that what would make a send of the request needless or wrong has come, though the loop
 // has not heard of it: an answer lies in the socket of an earlier attempt, or the client has left. A request
 // that was only just read is no exception: it may have lain in its socket for long.
-func (in *Ingress) overtaken(r *request) bool { return in.answerWaits(r) || in.hungUp(r.client) }
+func (in *Ingress) superseded(r *request) bool { return in.answerWaits(r) || in.hungUp(r.client) }
 
 // answerWaits tells that an attempt of the request has ended, though the loop has not heard of it.
 func (in *Ingress) answerWaits(r *request) bool {
@@ -92,7 +92,7 @@
 	if c.closed || !closedByPeer(c.raw) {
 		return c.closed
 	}
-	in.soon = append(in.soon, func() { in.clientGone(c, peerClosed, nil) })
+	in.deferred = append(in.deferred, func() { in.clientGone(c, peerClosed, nil) })
 	return true
 }
 
@@ -102,8 +102,8 @@
 	if c := in.takeIdle(a.be); c != nil {
 		in.write(c, a)
 	} else if !in.dialFor(a) {
-		in.note("send not made: too many connections", "open", in.backends.open)
-		in.later(a, policy.Moot)
+		in.warn("send not made: too many connections", "open", in.backends.open)
+		in.finishDeferred(a, policy.NotSent)
 	}
 }
 
@@ -115,7 +115,7 @@
 	}
 	left := a.until - at
 	if a.req.size > longCommand {
-		reserve = min(left*reserveShare, reserveMost)
+		reserve = min(left*reserveShare, maxReserveS)
 	}
 	return a.req.appendTo(b, left-reserve), reserve
 }
@@ -125,7 +125,7 @@
 	switch {
 	case a.done:
 	case a.conn == nil:
-		in.finish(a, result{status: policy.Moot}, in.now)
+		in.finish(a, result{status: policy.NotSent}, in.now)
 	case in.cutOff(a.conn):
 		in.finish(a, result{status: policy.ConnectFailed}, in.now)
 	default:
@@ -133,11 +133,11 @@
 	}
 }
 
-// later ends an attempt now and reports it once the module's current event is over.
-func (in *Ingress) later(a *attempt, status policy.Status) {
+// finishDeferred ends an attempt now and reports it once the module's current event is over.
+func (in *Ingress) finishDeferred(a *attempt, status policy.Status) {
 	a.done = true
 	in.detach(a)
-	in.soon = append(in.soon, func() { in.report(a, result{status: status}, in.now) })
+	in.deferred = append(in.deferred, func() { in.report(a, result{status: status}, in.now) })
 }
 
 // finish ends an attempt and reports it.
@@ -170,7 +170,7 @@
 	spent := max(at-a.sentAt, 0)
 	in.traceEnded(a, res, at)
 	if a.req == nil {
-		in.gate.Probed(in.now, policy.ProbeResult{Server: a.be.ID, Status: res.status, SpentS: spent, Load: res.load})
+		in.decider.Probed(in.now, policy.ProbeResult{Server: a.be.ID, Status: res.status, SpentS: spent, Load: res.load})
 		return
 	}
 	r := a.req
@@ -183,6 +183,6 @@
 	if a.be != nil {
 		server = a.be.ID
 	}
-	in.gate.Outcome(in.now, policy.Outcome{ID: r.ID, Server: server, Attempt: a.number, Status: res.status,
+	in.decider.Outcome(in.now, policy.Outcome{ID: r.ID, Server: server, Attempt: a.number, Status: res.status,
 		Over: r.over, SpentS: spent, Load: res.load})
 }
--- a/internal/ingress/client_write_test.go
+++ b/internal/ingress/client_write_test.go
@@ -91,7 +91,7 @@
 // read, and against one that is closed in place of an idle one.
 func TestStalledClientMakesRoom(t *testing.T) {
 	r := start(t, testConfig(noDiscovery), func(r *rig) {
-		r.in.clients.most = 2
+		r.in.clients.limit = 2
 		r.mod.onRequest = func(q policy.Request) {
 			req := r.in.requests[q.ID]
 			r.in.answer(req, []byte(strings.Repeat("x", 60_000)))
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -15,17 +15,17 @@
 )
 
 const (
-	pipelineMost = 32              // commands of one connection that may be open
-	commandMost  = 2 * time.Second // an answer is owed to what can't be read within 3 s
-	errorsMost   = 8               // bad commands of one connection; then it is closed
-	lingerMost   = 2 * time.Second // how long a refused client's bytes are read and dropped
-	lingerBytes  = 1 << 20         // and how many
-	idleMost     = 10.0            // seconds for which a connection may stand idle
-	clientsLeast = 8
-	acceptRetry  = 5 * time.Millisecond
-	lastWords    = 100 * time.Millisecond // for a command on a connection that came last
-	lastCall     = 10 * time.Millisecond  // without a new connection, after which the listener closes
-	acceptSlack  = 8                      // connections accepted that the loop has not come to
+	maxPipelined       = 32              // commands of one connection that may be open
+	commandTimeout     = 2 * time.Second // an answer is owed to what can't be read within 3 s
+	maxClientErrors    = 8               // bad commands of one connection; then it is closed
+	lingerTimeout      = 2 * time.Second // how long a refused client's bytes are read and dropped
+	maxLingerBytes     = 1 << 20         // and how many
+	clientIdleTimeoutS = 10.0            // seconds for which a connection may stand idle
+	minClients         = 8
+	acceptRetry        = 5 * time.Millisecond
+	lateClientGrace    = 100 * time.Millisecond // for a command on a connection that came last
+	listenerQuiet      = 10 * time.Millisecond  // without a new connection, after which the listener closes
+	acceptSlack        = 8                      // connections accepted that the loop has not come to
 	// For the listener, discovery with the questions open beside each other, peers, the configuration file, the
 	// slack and the runtime; and a share for what is being closed.
 	reservedFDs   = 32
@@ -86,25 +86,25 @@
 
 // clientSet bounds the connections of clients.
 type clientSet struct {
-	all     map[*client]struct{}
-	most    int
-	allowed int           // what most is as long as descriptors last
-	surplus int           // so many more are taken, to be refused in words
-	going   int           // connections that were asked to stand still, to be closed
-	room    chan struct{} // a place for each connection, taken before it is accepted
-
-	stallTimeout time.Duration // see there
-	commandMost  time.Duration // how long one may take for its first command, and for a whole one
+	all        map[*client]struct{}
+	limit      int           // of open connections
+	configured int           // what limit is as long as descriptors last
+	surplus    int           // so many more are taken, to be refused in words
+	going      int           // connections that were asked to stand still, to be closed
+	room       chan struct{} // a place for each connection, taken before it is accepted
+
+	stallTimeout   time.Duration // see there
+	commandTimeout time.Duration // how long one may take for its first command, and for a whole one
 }
 
 func (s *clientSet) init(sockets int) {
 	s.all = map[*client]struct{}{}
-	s.most = max(clientsLeast, usableFDs(sockets)/2)
-	s.allowed = s.most
+	s.limit = max(minClients, usableFDs(sockets)/2)
+	s.configured = s.limit
 	s.surplus = max(2, usableFDs(sockets)/8)
-	s.commandMost = commandMost
+	s.commandTimeout = commandTimeout
 	s.stallTimeout = stallTimeout
-	s.room = make(chan struct{}, s.most+s.surplus+acceptSlack)
+	s.room = make(chan struct{}, s.limit+s.surplus+acceptSlack)
 }
 
 func (s *clientSet) open() int { return len(s.all) }
@@ -116,11 +116,11 @@
 // the memory either. What has never spoken is its reader's to answer.
 func (s *clientSet) sweep(in *Ingress) {
 	for c := range s.all {
-		if c.spoke && c.idle() && in.now-c.usedAt > idleMost {
+		if c.spoke && c.idle() && in.now-c.usedAt > clientIdleTimeoutS {
 			in.endIdle(c, idleTimeout)
 		}
 		// Its reader waits for a permit and does not see the end.
-		if len(c.slots)+len(c.unsent) >= pipelineMost && closedByPeer(c.raw) {
+		if len(c.slots)+len(c.unsent) >= maxPipelined && closedByPeer(c.raw) {
 			in.clientGone(c, peerClosed, nil)
 		}
 	}
@@ -129,7 +129,7 @@
 
 // trim has idle connections go while more are open than may be.
 func (s *clientSet) trim(in *Ingress) {
-	if s.staying() > s.most {
+	if s.staying() > s.limit {
 		s.full(in, nil)
 	}
 }
@@ -213,7 +213,7 @@
 			}
 		}
 		switch {
-		case others < s.most:
+		case others < s.limit:
 			return false
 		case first == nil:
 			return true
@@ -248,14 +248,14 @@
 			return
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
 			// It may have come back without a look, as the deadline was over by then: a wait of its own tells.
-			if calm++; time.Since(from) < lastCall/2 {
+			if calm++; time.Since(from) < listenerQuiet/2 {
 				calm = 0
 			}
 			if calm > 1 {
 				return
 			}
 			<-in.clients.room
-			l.SetDeadline(time.Now().Add(lastCall))
+			l.SetDeadline(time.Now().Add(listenerQuiet))
 			continue
 		}
 		var raw syscall.RawConn
@@ -268,14 +268,14 @@
 		if err != nil {
 			<-in.clients.room
 			in.post(at, func() {
-				in.note("accept failed", "error", err)
-				in.starved(err)
+				in.warn("accept failed", "error", err)
+				in.makeRoomFor(err)
 			})
 			in.calls.wait(acceptRetry) // out of descriptors: others must end first
 			continue
 		}
 		number++
-		c := &client{number: number, conn: steadyConn{conn, in.calls.wait}, raw: raw, permits: make(chan struct{}, pipelineMost), quit: make(chan struct{}),
+		c := &client{number: number, conn: steadyConn{conn, in.calls.wait}, raw: raw, permits: make(chan struct{}, maxPipelined), quit: make(chan struct{}),
 			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}, arrivals: arrivals{in.pace.keptUpUntil(at)}}
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
@@ -284,15 +284,15 @@
 
 func (in *Ingress) addClient(c *client) {
 	c.surplus = in.clients.full(in, c)
-	if c.surplus && in.clients.staying() >= in.clients.most+in.clients.surplus {
-		in.note("client turned away: too many connections", "open", in.clients.open())
+	if c.surplus && in.clients.staying() >= in.clients.limit+in.clients.surplus {
+		in.warn("client turned away: too many connections", "open", in.clients.open())
 		in.closeClient(c, tooManyConnections, nil)
 		return
 	}
 	c.openedAt, c.usedAt = in.now, in.now
 	in.clients.all[c] = struct{}{}
 	if in.leaving { // it came before the listener closed, and so does what it asks
-		in.after(lastWords.Seconds(), func() { in.endIdle(c, draining) })
+		in.after(lateClientGrace.Seconds(), func() { in.endIdle(c, draining) })
 	}
 }
 
@@ -301,7 +301,7 @@
 func (c *client) read(in *Ingress, words *vocabulary) {
 	defer c.buf.free()
 	timed := true
-	until := time.Now().Add(in.clients.commandMost)
+	until := time.Now().Add(in.clients.commandTimeout)
 	limit := func(at time.Time) {
 		until = at
 		if c.conn.SetReadDeadline(at); c.pausing.Load() {
@@ -349,7 +349,7 @@
 			return
 		case unfinished && (used > 0 || !timed):
 			timed = true
-			limit(time.Now().Add(in.clients.commandMost))
+			limit(time.Now().Add(in.clients.commandTimeout))
 		case !unfinished && timed:
 			timed = false
 			limit(time.Time{})
@@ -380,7 +380,7 @@
 			}
 		}
 		if bad := c.command(in, at, came.of(used+size == len(c.buf.b)), words, args); bad != nil {
-			if c.errors++; c.errors == errorsMost {
+			if c.errors++; c.errors == maxClientErrors {
 				<-c.permits // the last answer takes none
 				c.refuse(in, at, bad)
 				return 0, false
@@ -401,9 +401,9 @@
 	answer := errorOf(bad)
 	c.buf.free()
 	in.post(at, func() { in.answerAtOnce(c, answer, true) })
-	c.conn.SetReadDeadline(time.Now().Add(lingerMost))
-	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, lingerBytes))
-	gone := n < lingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
+	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, maxLingerBytes))
+	gone := n < maxLingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
 	in.post(in.clock.now(), func() {
 		if c.lingered = true; gone || c.idle() {
 			in.clientGone(c, protocolError, bad)
@@ -424,7 +424,7 @@
 		}
 		if !in.input.take(call.size) {
 			in.post(at, func() {
-				in.note("request refused: too much input waits", "bytes", call.size)
+				in.warn("request refused: too much input waits", "bytes", call.size)
 				in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 			})
 			return nil
@@ -460,7 +460,7 @@
 		if s.req != nil && !s.req.over {
 			in.traceGone(s.req)
 			in.end(s.req)
-			in.gate.Gone(in.now, s.req.ID)
+			in.decider.Gone(in.now, s.req.ID)
 		}
 	}
 }
--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -27,13 +27,13 @@
 			if tc.before != "" {
 				most = time.Hour // until that is answered, however busy this machine is
 			}
-			r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.commandMost = most })
+			r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.commandTimeout = most })
 			c := r.client()
 			if tc.before != "" {
 				if io.WriteString(c, tc.before); c.line() != "+PONG" {
 					t.Fatal("not served")
 				}
-				r.do(func() { r.in.clients.commandMost = time.Millisecond })
+				r.do(func() { r.in.clients.commandTimeout = time.Millisecond })
 			}
 			io.WriteString(c, tc.half)
 			if got := c.line(); got != want || c.line() != "" {
@@ -48,7 +48,7 @@
 		c := r.client()
 		io.WriteString(c, command(look("a")...))
 		get(t, r.mod.requests)
-		r.do(func() { r.in.clients.commandMost = time.Millisecond })
+		r.do(func() { r.in.clients.commandTimeout = time.Millisecond })
 		io.WriteString(c, "*1")
 		r.until("the error waits", func() bool {
 			q := r.in.requests["a"]
@@ -68,7 +68,7 @@
 	c := r.client()
 	io.WriteString(c, command(look("a")...)+"*1\r\n$60000000\r\n")
 	get(t, r.mod.requests)
-	io.WriteString(c, strings.Repeat("x", lingerBytes))
+	io.WriteString(c, strings.Repeat("x", maxLingerBytes))
 	r.until("enough is read", func() bool {
 		q := r.in.requests["a"]
 		return q != nil && q.client.lingered
@@ -86,8 +86,8 @@
 func TestBadCommandsAreCounted(t *testing.T) {
 	r := start(t, testConfig("127.0.0.1:1"), nil)
 	c := r.client()
-	io.WriteString(c, strings.Repeat(command("NOVEL"), 100*errorsMost))
-	for i := range errorsMost {
+	io.WriteString(c, strings.Repeat(command("NOVEL"), 100*maxClientErrors))
+	for i := range maxClientErrors {
 		if got := c.line(); got != `-ERR unknown command "NOVEL"` {
 			t.Fatalf("answer %d is %q", i, got)
 		}
@@ -99,7 +99,7 @@
 
 // Guards against usual clients that make room for those that have said nothing.
 func TestNeverSpokenMakeRoomFirst(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most = 2 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.limit = 2 })
 	usual := r.client()
 	if usual.send("PING"); usual.line() != "+PONG" {
 		t.Fatal("not served")
@@ -123,7 +123,7 @@
 	get(t, r.mod.requests)
 	idle.send("PING")
 	idle.line()
-	r.do(func() { r.in.now += idleMost + 1; r.in.clients.sweep(r.in) })
+	r.do(func() { r.in.now += clientIdleTimeoutS + 1; r.in.clients.sweep(r.in) })
 	if idle.line() != "" {
 		t.Error("the idle connection is open")
 	}
--- a/internal/ingress/descriptors.go
+++ b/internal/ingress/descriptors.go
@@ -24,26 +24,26 @@
 // checkDescriptors makes room before a call fails that has nobody to tell of it, and gives the bound on
 // clients back once there is room again.
 func (in *Ingress) checkDescriptors() {
-	if s := &in.clients; !in.starved(in.spare()) && s.most < s.allowed {
-		s.most = min(s.allowed, s.most+max(1, s.allowed/backShare))
+	if s := &in.clients; !in.makeRoomFor(in.spare()) && s.limit < s.configured {
+		s.limit = min(s.configured, s.limit+max(1, s.configured/backShare))
 	}
 }
 
-// starved tells whether a call failed for want of descriptors. Idle connections make room then: those to
+// makeRoomFor tells whether a call failed for want of descriptors. Idle connections make room then: those to
 // backends first, which cost a new one at most, and clients that are owed nothing, those idle for longest first.
-func (in *Ingress) starved(err error) bool {
+func (in *Ingress) makeRoomFor(err error) bool {
 	if !OutOfDescriptors(err) {
 		return false
 	}
 	s := &in.clients
 	n := max(1, s.staying()/shedShare)
-	in.note("no descriptor left", "clients", s.open(), "backends", in.backends.open)
+	in.warn("no descriptor left", "clients", s.open(), "backends", in.backends.open)
 	for range max(1, n/2) {
 		if !in.evictIdle() {
 			break
 		}
 	}
-	s.most = max(clientsLeast, min(s.most, s.staying()-n))
+	s.limit = max(minClients, min(s.limit, s.staying()-n))
 	s.full(in, nil)
 	return true
 }
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -27,12 +27,12 @@
 	graceDefault  = 0.25 // where the settings name none
 	// A long grace puts nothing off for longer than this: at most 6 s after discovery has a change and can be
 	// reached it must have come, whatever was before. docs/endings.md adds the waits up.
-	askAgainMost  = 500 * time.Millisecond
-	questionsMost = 3 // unanswered ones to an agent, beside the first
-	pauseMost     = 50 * time.Millisecond
-	badAgainFirst = 50 * time.Millisecond
-	badAgainMost  = time.Second // whole lists cost; one that can't be read is not asked for more often
-	maxListValue  = 4 << 20
+	maxAskAgain      = 500 * time.Millisecond
+	maxOpenQuestions = 3 // unanswered ones to an agent, beside the first
+	maxPause         = 50 * time.Millisecond
+	minUselessPause  = 50 * time.Millisecond
+	maxUselessPause  = time.Second // whole lists cost; one that can't be read is not asked for more often
+	maxListValue     = 4 << 20
 )
 
 var (
@@ -90,7 +90,7 @@
 	}
 	in.backends.apply(in, t)
 	in.starts.forget(func(id string) bool { return in.backends.byID[id] != nil })
-	in.gate.Servers(in.now, list, t.Full)
+	in.decider.Servers(in.now, list, t.Full)
 }
 
 // watcher follows discovery. One goroutine owns it at a time.
@@ -105,7 +105,7 @@
 // askAgainAfter is how long an agent that does not answer, or refuses, is left alone, by the grace for sends
 // to draining backends.
 func askAgainAfter(graceS float64) time.Duration {
-	return min(time.Duration(cmp.Or(graceS, graceDefault)*askAgainShare*float64(time.Second)), askAgainMost)
+	return min(time.Duration(cmp.Or(graceS, graceDefault)*askAgainShare*float64(time.Second)), maxAskAgain)
 }
 
 // watchDiscovery keeps a watch open for as long as ctx lasts, and moves it at once when the
@@ -115,7 +115,7 @@
 	w := &watcher{in: in, addr: in.cfg.Discovery, version: in.cfg.Known.Version,
 		http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true,
 			DialContext: in.calls.dialAgent}}}
-	bad := badAgainFirst
+	bad := minUselessPause
 	for ctx.Err() == nil {
 		round, stop := context.WithCancel(ctx)
 		ended := make(chan error, 1)
@@ -129,27 +129,27 @@
 			}
 			seen, addr := w.version, w.addr
 			in.post(in.clock.now(), func() {
-				in.note("watch ended", "error", err, "address", addr, "version", seen)
-				in.starved(err)
+				in.warn("watch ended", "error", err, "address", addr, "version", seen)
+				in.makeRoomFor(err)
 			})
-			pause := min(in.askAgain, pauseMost)
+			pause := min(in.askAgain, maxPause)
 			if seen != before || !errors.Is(err, errWasted) {
-				bad = badAgainFirst
+				bad = minUselessPause
 			} else { // an agent that refuses or is silent is asked soon, but lists cost
-				pause, bad = max(pause, bad), min(2*bad, badAgainMost)
+				pause, bad = max(pause, bad), min(2*bad, maxUselessPause)
 			}
 			select {
 			case <-ctx.Done():
 			case cfg := <-reread:
 				w.move(cfg)
-				bad = badAgainFirst
+				bad = minUselessPause
 			case <-in.pause(pause):
 			}
 		case cfg := <-reread:
 			stop()
 			<-ended
 			w.move(cfg)
-			bad = badAgainFirst
+			bad = minUselessPause
 		}
 		stop()
 	}
@@ -210,7 +210,7 @@
 		case <-next:
 			again.Reset(w.in.askAgain)
 			n := len(stops)
-			if old := n - questionsMost; old > 0 {
+			if old := n - maxOpenQuestions; old > 0 {
 				stops[old]()
 			}
 			one, stop := context.WithCancel(ctx)
@@ -357,7 +357,7 @@
 	t.Servers = slices.DeleteFunc(t.Servers, func(e target) bool {
 		err := e.check()
 		if err != nil {
-			w.in.post(w.in.clock.now(), func() { w.in.note("entry of the list left out", "error", err) })
+			w.in.post(w.in.clock.now(), func() { w.in.warn("entry of the list left out", "error", err) })
 		}
 		return err != nil
 	})
--- a/internal/ingress/discovery_test.go
+++ b/internal/ingress/discovery_test.go
@@ -77,7 +77,7 @@
 			}
 			other, list := second, listed(7, false, "x", "in_service")
 			if which == "the first question" {
-				for range questionsMost { // it outlasts those that came right after it
+				for range maxOpenQuestions { // it outlasts those that came right after it
 					get(t, asked)
 				}
 				first.tell(list)
@@ -169,7 +169,7 @@
 		free <- time.Time{}
 	}
 	get(t, took)
-	if !slices.IsSorted(pauses) || pauses[9] != badAgainMost {
+	if !slices.IsSorted(pauses) || pauses[9] != maxUselessPause {
 		t.Errorf("pauses of %v", pauses)
 	}
 }
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -23,9 +23,9 @@
 func TestACommandThatWasReadOutlastsTheClose(t *testing.T) {
 	for name, end := range map[string]func(r *rig){
 		"drain": func(r *rig) { r.in.leave() },
-		"idle":  func(r *rig) { r.in.now += idleMost + 1; r.in.clients.sweep(r.in) },
+		"idle":  func(r *rig) { r.in.now += clientIdleTimeoutS + 1; r.in.clients.sweep(r.in) },
 		"evicted": func(r *rig) {
-			r.in.clients.most = 1
+			r.in.clients.limit = 1
 			r.in.clients.full(r.in, nil)
 		},
 	} {
@@ -88,7 +88,7 @@
 func TestHalfACommandOutlastsTheClose(t *testing.T) {
 	r := start(t, testConfig(noDiscovery), func(r *rig) {
 		busy(r)
-		r.in.clients.commandMost = time.Hour
+		r.in.clients.commandTimeout = time.Hour
 	})
 	c := r.client()
 	if c.send("PING"); c.line() != "+PONG" {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -471,7 +471,7 @@
 			get(t, dialing)
 			r.do(func() { change(r) })
 			close(free)
-			if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
 				t.Errorf("got %+v", o)
 			}
 			b := get(t, conns)
@@ -662,7 +662,7 @@
 
 // Guards against running out of descriptors: the connection that idles longest makes room.
 func TestIdleClientsMakeRoom(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most = 2 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.limit = 2 })
 	var conns []*wire
 	for range 3 {
 		c := r.client()
@@ -682,7 +682,7 @@
 // Guards against requests lost to the bound on descriptors: a connection beyond it was closed, and with
 // it the request that had come along. It is refused in words, and served once another one idles.
 func TestSurplusClientsAreRefusedInWords(t *testing.T) {
-	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.most, r.in.clients.surplus = 1, 1 })
+	r := start(t, testConfig("127.0.0.1:1"), func(r *rig) { r.in.clients.limit, r.in.clients.surplus = 1, 1 })
 	busy := r.client()
 	busy.send(look("a")...)
 	get(t, r.mod.requests)
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -34,7 +34,7 @@
 	lateS = 0.02
 	// How long after the start a list with a backend of use is waited for before the front is told that this
 	// ingress is ready. Nine in ten have to be within 10 s.
-	readyMost = 2 * time.Second
+	readyTimeout = 2 * time.Second
 	// So the readers are given turns, until one brings nothing more, and so many at most.
 	readersTurn  = 200 * time.Microsecond
 	readersTurns = 10
@@ -67,8 +67,8 @@
 	do func()
 }
 
-// gateway is what the loop tells the decision module, a *policy.Gateway.
-type gateway interface {
+// decider is what the loop tells the decision module, a *policy.Gateway.
+type decider interface {
 	Request(now float64, q policy.Request)
 	Outcome(now float64, o policy.Outcome)
 	Gone(now float64, id string)
@@ -93,16 +93,16 @@
 	events chan event
 	done   chan struct{} // closed when the loop has ended
 
-	gate   gateway
-	now    float64 // what the module was last told; never goes back
-	timers timerHeap
-	wake   *time.Timer
-	wakeAt float64
-	pace   pace
-	soon   []func() // outcomes that an action yielded, for when its event method has returned
-	noise  limiter
-	bytes  []byte // of the command that is being written
-	input  budget // what clients and backends have sent and nobody has used up yet; of all goroutines
+	decider  decider
+	now      float64 // what the module was last told; never goes back
+	timers   timerHeap
+	wake     *time.Timer
+	wakeAt   float64
+	pace     pace
+	deferred []func() // outcomes that an action yielded, for when its event method has returned
+	logLimit logLimiter
+	bytes    []byte // of the command that is being written
+	input    budget // what clients and backends have sent and nobody has used up yet; of all goroutines
 
 	acceptFor time.Duration                        // how long after the signal new connections are taken
 	drainFor  time.Duration                        // and when all is answered at the latest
@@ -145,14 +145,14 @@
 func open(ctx context.Context, cfg Config, log *slog.Logger, calls systemCalls) (*Ingress, error) {
 	in := &Ingress{cfg: cfg, log: log, clock: newClock(), events: make(chan event, eventQueue),
 		done: make(chan struct{}), requests: map[string]*request{}, wake: time.NewTimer(time.Hour),
-		acceptFor: acceptAfterTerm, drainFor: drainMost(cfg.Settings.Classes), pause: time.After, silence: watchSilence,
+		acceptFor: acceptAfterTerm, drainFor: drainTimeout(cfg.Settings.Classes), pause: time.After, silence: watchSilence,
 		askAgain: askAgainAfter(cfg.Settings.StopSendingS),
 		alarm:    func(d time.Duration, do func()) alarm { return time.AfterFunc(d, do) },
 		calls:    calls,
 		turn:     func() { time.Sleep(readersTurn) }, spare: spareDescriptor}
 	in.now = in.clock.now()
 	in.starts.sample(in.now, in.clock.wall())
-	in.readyAt = in.now + readyMost.Seconds()
+	in.readyAt = in.now + readyTimeout.Seconds()
 	in.input.left.Store(int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputShare))
 	in.clients.init(cfg.Sockets)
 	in.backends.init(cfg, calls)
@@ -181,11 +181,11 @@
 }
 
 // serve starts the readers and runs the loop to the end of the drain.
-func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate gateway) {
+func (in *Ingress) serve(ctx context.Context, reread <-chan Config, gate decider) {
 	defer in.close()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	in.gate = gate
+	in.decider = gate
 	in.takeList(in.cfg.Known)
 	go in.watchDiscovery(background, reread)
 	go in.accept(in.listener)
@@ -234,18 +234,18 @@
 func (in *Ingress) handle(e event) {
 	in.now = max(in.now, e.at)
 	in.guard(e.do)
-	for len(in.soon) > 0 {
-		do := in.soon[0]
-		in.soon = in.soon[1:]
+	for len(in.deferred) > 0 {
+		do := in.deferred[0]
+		in.deferred = in.deferred[1:]
 		in.guard(do)
 	}
-	in.soon = nil
+	in.deferred = nil
 }
 
 func (in *Ingress) guard(do func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			in.note("event failed", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			in.warn("event failed", "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	do()
@@ -259,8 +259,8 @@
 	in.clients.closeIdle(in)
 }
 
-// drainMost is how long after the signal a drain may take.
-func drainMost(classes []policy.Class) time.Duration {
+// drainTimeout is how long after the signal a drain may take.
+func drainTimeout(classes []policy.Class) time.Duration {
 	longest := 0.0
 	for _, c := range classes {
 		longest = max(longest, c.DeadlineS)
@@ -369,7 +369,7 @@
 
 // SetTimer implements policy.Actions.
 func (in *Ingress) SetTimer(token uint64, delayS float64) {
-	in.after(max(delayS, 0), func() { in.gate.Timer(in.now, token) })
+	in.after(max(delayS, 0), func() { in.decider.Timer(in.now, token) })
 }
 
 // Tell implements policy.Actions.
@@ -382,20 +382,20 @@
 // Log implements policy.Actions.
 func (in *Ingress) Log(text string) { in.log.Info(text) }
 
-// limiter bounds how often faults of others are logged.
-type limiter struct {
+// logLimiter bounds how often faults of others are logged.
+type logLimiter struct {
 	second int64
 	n      int
 }
 
-const notesPerSecond = 5
+const maxWarningsPerSecond = 5
 
-// note logs a fault of somebody else, unless there were many within this second. Loop only.
-func (in *Ingress) note(what string, args ...any) {
-	if second := int64(in.now); second != in.noise.second {
-		in.noise = limiter{second: second}
+// warn logs a fault of somebody else, unless there were many within this second. Loop only.
+func (in *Ingress) warn(what string, args ...any) {
+	if second := int64(in.now); second != in.logLimit.second {
+		in.logLimit = logLimiter{second: second}
 	}
-	if in.noise.n++; in.noise.n <= notesPerSecond {
+	if in.logLimit.n++; in.logLimit.n <= maxWarningsPerSecond {
 		in.log.Warn(what, args...)
 	}
 }
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -142,7 +142,7 @@
 				if o.Attempt == 0 {
 					continue
 				}
-				if o.Status != policy.Moot {
+				if o.Status != policy.NotSent {
 					t.Errorf("the copy ended as %+v", o)
 				}
 				break
@@ -182,7 +182,7 @@
 	b.Close()
 	r.until("the reader stands", first.conn.dead.Load)
 	close(free)
-	if o := get(t, r.mod.outcomes); o.Attempt != 1 || o.Status != policy.Moot {
+	if o := get(t, r.mod.outcomes); o.Attempt != 1 || o.Status != policy.NotSent {
 		t.Errorf("got %+v", o)
 	}
 	first.conn.writing.Unlock()
@@ -211,7 +211,7 @@
 		}
 		nothing := func(t *testing.T, r *rig, conns chan *wire, id string) {
 			t.Helper()
-			if o := get(t, r.mod.outcomes); o.Status != policy.Moot || o.ID != id || !o.Over {
+			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent || o.ID != id || !o.Over {
 				t.Errorf("got %+v", o)
 			}
 			if got := get(t, r.mod.gone); got != id {
@@ -333,7 +333,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			})
-			if o := get(t, r.mod.outcomes); o.Status != policy.Moot || !o.Over {
+			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent || !o.Over {
 				t.Errorf("got %+v", o)
 			}
 			b := get(t, conns)
@@ -347,11 +347,11 @@
 			r := start(t, testConfig(addr), nil)
 			c := r.client()
 			var all strings.Builder
-			for i := range pipelineMost + 3 {
+			for i := range maxPipelined + 3 {
 				all.WriteString(command(look(fmt.Sprint("r", i))...))
 			}
 			io.WriteString(c, all.String())
-			for range pipelineMost {
+			for range maxPipelined {
 				get(t, r.mod.requests)
 			}
 			left := gone(r, "r0")
@@ -368,7 +368,7 @@
 					t.Error("a command was sent on")
 					end = true
 				case id := <-r.mod.gone:
-					end = id == fmt.Sprint("r", pipelineMost-1)
+					end = id == fmt.Sprint("r", maxPipelined-1)
 				case <-time.After(patience):
 					t.Fatal("the module never heard of it")
 				}
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -49,19 +49,19 @@
 	to := p.in.cfg.PeersAll
 	if gateway != policy.Broadcast {
 		if gateway < 0 || gateway >= len(p.in.cfg.Peers) {
-			p.in.note("no such peer", "number", gateway)
+			p.in.warn("no such peer", "number", gateway)
 			return
 		}
 		to = p.in.cfg.Peers[gateway]
 	}
 	if len(data) > maxDatagram || !to.IsValid() {
-		p.in.note("datagram not sent", "bytes", len(data), "to", to)
+		p.in.warn("datagram not sent", "bytes", len(data), "to", to)
 		return
 	}
 	select {
 	case p.queue <- datagram{to, data}:
 	default:
-		p.in.note("datagram lost: the queue is full")
+		p.in.warn("datagram lost: the queue is full")
 	}
 }
 
@@ -91,10 +91,10 @@
 		number, known := numbers[from]
 		at := in.clock.now()
 		if !known || n > maxDatagram {
-			in.post(at, func() { in.note("datagram dropped", "from", from, "bytes", n) })
+			in.post(at, func() { in.warn("datagram dropped", "from", from, "bytes", n) })
 			continue
 		}
 		data := append([]byte(nil), buf[:n]...)
-		in.post(at, func() { in.gate.Peer(in.now, number, data) })
+		in.post(at, func() { in.decider.Peer(in.now, number, data) })
 	}
 }
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -33,9 +33,9 @@
 	// a share, and so many seconds at most.
 	longCommand  = 16 << 10
 	reserveShare = 0.25
-	reserveMost  = 0.5
+	maxReserveS  = 0.5
 	// How long a dial that fails for something on this side is tried again.
-	ownRetryMost = 250 * time.Millisecond
+	maxOwnRetry = 250 * time.Millisecond
 )
 
 var (
@@ -56,7 +56,7 @@
 type backendSet struct {
 	byID  map[string]*backend
 	open  int // connections, dials among them
-	most  int
+	limit int
 	idleS float64
 	copyS float64 // see there; never changes
 
@@ -69,13 +69,13 @@
 func (s *backendSet) init(cfg Config, calls systemCalls) {
 	s.byID = map[string]*backend{}
 	s.wrote = func(*backConn) {}
-	s.most = max(8, usableFDs(cfg.Sockets)*3/8)
+	s.limit = max(8, usableFDs(cfg.Sockets)*3/8)
 	s.copyS = copyS
 	s.writeSlack = writeSlack
 	s.idleS = cfg.Settings.ConnIdleS * idleShare
 	timeout := time.Duration(cfg.Settings.DialTimeoutS * float64(time.Second))
 	s.dial = func(addr string) (net.Conn, error) { return calls.dial(addr, timeout) }
-	s.ownRetry = min(timeout, ownRetryMost)
+	s.ownRetry = min(timeout, maxOwnRetry)
 }
 
 // ready tells whether a request could be sent anywhere.
@@ -125,7 +125,7 @@
 		return
 	}
 	for len(be.waiting) > 0 {
-		in.later(be.waiting[0], policy.Moot)
+		in.finishDeferred(be.waiting[0], policy.NotSent)
 	}
 }
 
@@ -226,7 +226,7 @@
 
 // dialFor has the attempt wait for a new connection; false if there may be no more of them.
 func (in *Ingress) dialFor(a *attempt) bool {
-	if in.backends.open >= in.backends.most && !in.evictIdle() {
+	if in.backends.open >= in.backends.limit && !in.evictIdle() {
 		return false
 	}
 	a.be.waiting = append(a.be.waiting, a)
@@ -242,7 +242,7 @@
 	conn, err := in.backends.dial(at.Addr)
 	for first := true; ownFault(err) && in.clock.now()-from < in.backends.ownRetry.Seconds(); first = false {
 		if failed := err; first {
-			in.post(in.clock.now(), func() { in.starved(failed) })
+			in.post(in.clock.now(), func() { in.makeRoomFor(failed) })
 		}
 		in.calls.wait(scarceRetry)
 		conn, err = in.backends.dial(at.Addr)
@@ -264,9 +264,9 @@
 	failed := policy.ConnectFailed
 	if c == nil {
 		in.backends.open--
-		in.note("dial failed", "backend", be.ID, "error", err)
-		if in.starved(err); ownFault(err) {
-			failed = policy.Moot // it tells nothing of the backend
+		in.warn("dial failed", "backend", be.ID, "error", err)
+		if in.makeRoomFor(err); ownFault(err) {
+			failed = policy.NotSent // it tells nothing of the backend
 		}
 	} else {
 		go c.read(in)
@@ -274,7 +274,7 @@
 			in.give(c)
 		} else {
 			if !c.dead.Load() || c.at.Addr != be.Addr {
-				failed = policy.Moot // the backend is another one by now: it tells nothing of that
+				failed = policy.NotSent // the backend is another one by now: it tells nothing of that
 			}
 			in.closeConn(c, notUsable, nil)
 		}
@@ -301,8 +301,8 @@
 	for len(be.waiting) > 0 {
 		a := be.waiting[0]
 		be.waiting = be.waiting[1:]
-		if in.unsendable(a) || a.req != nil && in.overtaken(a.req) {
-			in.later(a, policy.Moot)
+		if in.unsendable(a) || a.req != nil && in.superseded(a.req) {
+			in.finishDeferred(a, policy.NotSent)
 			continue
 		}
 		in.write(c, a)
@@ -329,9 +329,9 @@
 // time as well.
 func (in *Ingress) write(c *backConn, a *attempt) {
 	from := in.clock.now()
-	if from >= min(a.whole, a.until) {
+	if from >= min(a.writeDeadline, a.until) {
 		in.release(c)
-		in.later(a, policy.Moot)
+		in.finishDeferred(a, policy.NotSent)
 		return
 	}
 	var reserve float64
@@ -348,14 +348,14 @@
 	switch {
 	case err != nil:
 		in.closeConn(c, writeFailed, err)
-		in.later(a, policy.ConnectFailed)
+		in.finishDeferred(a, policy.ConnectFailed)
 	case n == len(b):
 		c.written.Store(true)
 		in.traceSent(a, c.at, from, in.clock.now())
 	default:
 		rest := bytes.Clone(b[n:])
 		c.writing.Lock() // only its own reader takes it besides, for a moment at its end
-		c.conn.SetWriteDeadline(in.clock.at(min(a.whole, a.until, from+reserve+in.backends.writeSlack)))
+		c.conn.SetWriteDeadline(in.clock.at(min(a.writeDeadline, a.until, from+reserve+in.backends.writeSlack)))
 		go func() {
 			defer c.writing.Unlock()
 			_, err := c.conn.Write(rest)
@@ -412,7 +412,7 @@
 		ended = err
 		at := in.clock.now()
 		if n > 0 && !c.busy.Load() {
-			in.post(at, func() { in.note("bytes that nobody asked for", "backend", c.be.ID, "bytes", n) })
+			in.post(at, func() { in.warn("bytes that nobody asked for", "backend", c.be.ID, "bytes", n) })
 			break // what follows can't be told apart
 		}
 		buf.grew(n)
@@ -497,7 +497,7 @@
 	c.dead.Store(true)
 	start := string(got[:min(len(got), 40)])
 	in.post(at, func() {
-		in.note("bad reply", "backend", c.be.ID, "why", why, "bytes", start)
+		in.warn("bad reply", "backend", c.be.ID, "why", why, "bytes", start)
 		in.replied(c, spoilt(why.Error()), at)
 	})
 }
@@ -510,7 +510,7 @@
 	}
 	if res.status == policy.OK && res.probe != (a.req == nil) {
 		c.dead.Store(true)
-		in.note("bad reply", "backend", c.be.ID, "why", "a reply to something else")
+		in.warn("bad reply", "backend", c.be.ID, "why", "a reply to something else")
 		res = spoilt("a reply to something else")
 	}
 	if c.written.Load() && !c.dead.Load() {
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -193,7 +193,7 @@
 				r.in.takeList(targets{Servers: []target{e}})
 			})
 			close(free)
-			if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
 				t.Errorf("got %+v", o)
 			}
 			if got := get(t, conns).command(); got != nil {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -46,7 +46,7 @@
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	case c.surplus && in.clients.full(in, c):
-		in.note("request refused: too many connections", "open", in.clients.open())
+		in.warn("request refused: too many connections", "open", in.clients.open())
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
 		return
 	case in.requests[q.ID] != nil:
@@ -66,9 +66,9 @@
 	in.traceTaken(r)
 	// The module answers well before; should it fail to, the client hears all the same.
 	r.timer = in.after(r.deadline+in.cfg.Settings.AnswerSlackS-in.now, func() {
-		in.note("no answer from the module in time", "id", r.ID)
+		in.warn("no answer from the module in time", "id", r.ID)
 		in.fail(r)
-		in.gate.Gone(in.now, r.ID)
+		in.decider.Gone(in.now, r.ID)
 	})
 	q.Request.DeadlineS = r.deadline
 	handed := false
@@ -77,7 +77,7 @@
 			in.fail(r)
 		}
 	}()
-	in.gate.Request(in.now, q.Request)
+	in.decider.Request(in.now, q.Request)
 	handed = true
 }
 
@@ -140,7 +140,7 @@
 	for _, r := range in.requests {
 		if !r.over {
 			in.fail(r)
-			in.gate.Gone(in.now, r.ID)
+			in.decider.Gone(in.now, r.ID)
 		}
 	}
 	in.clients.closeIdle(in)
--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -157,7 +157,7 @@
 		}
 		return n, nil
 	}
-	return 0, fmt.Errorf("unknown type %q", b[0]) // told at once: its line may never end
+	return 0, fmt.Errorf("unknown type %q", b[0]) // takeReport at once: its line may never end
 }
 
 // frameLine is frame for a line of text or a number.
--- a/internal/ingress/size_test.go
+++ b/internal/ingress/size_test.go
@@ -14,16 +14,16 @@
 	"reedlead/policy"
 )
 
-// manyMost is the number of gateways and of backends below which nothing may be capped.
-const manyMost = 1024
+// leastCap is the number of gateways and of backends below which nothing may be capped.
+const leastCap = 1024
 
 // manyConfig is that of gateway number me of so many, with as many backends, none of which answers.
 func manyConfig(t *testing.T, me int, peers []netip.AddrPort) Config {
 	c := testConfig()
 	c.MemoryMB, c.Sockets = 192, 1024
-	c.Settings.Gateways, c.Settings.Me, c.Settings.Settings.Peers = manyMost, me, true
+	c.Settings.Gateways, c.Settings.Me, c.Settings.Settings.Peers = leastCap, me, true
 	c.Peers, c.PeerListen = peers, peers[me]
-	for i := range manyMost {
+	for i := range leastCap {
 		c.Known.Servers = append(c.Known.Servers, target{ID: fmt.Sprintf("s-%08x", i), Zone: "z",
 			Addr: fmt.Sprintf("127.9.%d.%d:6379", i>>8, i&255), State: "in_service"})
 	}
@@ -31,10 +31,10 @@
 }
 
 func manyPeers(t *testing.T) (peers []netip.AddrPort) {
-	for i := range manyMost {
+	for i := range leastCap {
 		peers = append(peers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 8, byte(i >> 8), byte(i)}), 7946))
 	}
-	for _, i := range []int{0, manyMost - 1} { // the two that run get ports of their own
+	for _, i := range []int{0, leastCap - 1} { // the two that run get ports of their own
 		c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(peers[i].Addr(), 0)))
 		if err != nil {
 			t.Fatal(err)
@@ -54,8 +54,8 @@
 	cfg := manyConfig(t, 0, peers)
 	cfg.Discovery = addr
 	first := start(t, cfg, nil)
-	last := start(t, manyConfig(t, manyMost-1, peers), nil)
-	if n := len(get(t, first.mod.lists)); n != manyMost {
+	last := start(t, manyConfig(t, leastCap-1, peers), nil)
+	if n := len(get(t, first.mod.lists)); n != leastCap {
 		t.Fatalf("the module got %d backends", n)
 	}
 	c := first.client()
@@ -63,7 +63,7 @@
 		t.Error("not ready, with a list and a silent agent")
 	}
 	list := targets{Version: 7, Full: true}
-	for i := range manyMost {
+	for i := range leastCap {
 		list.Servers = append(list.Servers, target{ID: fmt.Sprintf("new-%08x", i), Addr: "127.0.0.1:1", Zone: "z", State: "in_service"})
 	}
 	text, err := json.MarshalIndent(list, "", "    ")
@@ -72,37 +72,37 @@
 	}
 	a := get(t, asked)
 	a.tell(string(text) + "\n")
-	if n := len(get(t, first.mod.lists)); n != manyMost {
+	if n := len(get(t, first.mod.lists)); n != leastCap {
 		t.Errorf("the module got %d backends", n)
 	}
-	a.tell(listed(8, false, fmt.Sprintf("new-%08x", manyMost-1), "terminating"))
-	if got := fmt.Sprint(first.ids()); got != fmt.Sprintf("[new-%08x 1]", manyMost-1) {
+	a.tell(listed(8, false, fmt.Sprintf("new-%08x", leastCap-1), "terminating"))
+	if got := fmt.Sprint(first.ids()); got != fmt.Sprintf("[new-%08x 1]", leastCap-1) {
 		t.Errorf("the module got %s", got)
 	}
 	first.do(func() {
-		if n := len(first.in.backends.byID); n != manyMost {
+		if n := len(first.in.backends.byID); n != leastCap {
 			t.Errorf("%d backends are kept", n)
 		}
-		first.in.Tell(manyMost-1, []byte("there"))
+		first.in.Tell(leastCap-1, []byte("there"))
 	})
 	if m := get(t, last.mod.messages); m.from != 0 || m.data != "there" {
 		t.Errorf("the last gateway got %+v", m)
 	}
 	last.do(func() { last.in.Tell(0, []byte(strings.Repeat("x", maxDatagram))) })
-	if m := get(t, first.mod.messages); m.from != manyMost-1 || len(m.data) != maxDatagram {
+	if m := get(t, first.mod.messages); m.from != leastCap-1 || len(m.data) != maxDatagram {
 		t.Errorf("the first gateway got %d bytes of %d", len(m.data), m.from)
 	}
 	first.do(func() {
-		before := first.in.noise
-		for i := 1; i < manyMost; i++ { // all in one event: nothing may be lost before the socket
+		before := first.in.logLimit
+		for i := 1; i < leastCap; i++ { // all in one event: nothing may be lost before the socket
 			first.in.Tell(i, []byte("all"))
 		}
-		if first.in.noise != before {
+		if first.in.logLimit != before {
 			t.Error("datagrams were lost in the queue")
 		}
 	})
 	c.send("CALL.GET", customer, "a", "c=look,t=basic,d=600000,units=2,spread=1024,first=1023")
-	if q := get(t, first.mod.requests); q.Entries != manyMost || q.First != manyMost-1 {
+	if q := get(t, first.mod.requests); q.Entries != leastCap || q.First != leastCap-1 {
 		t.Errorf("the module got %+v", q)
 	}
 	runtime.GC()
@@ -161,7 +161,7 @@
 	gates, sent := map[int]*policy.Gateway{}, map[int]*[]told{}
 	s := manyConfig(t, 0, manyPeers(t)).Settings.Settings
 	s.PeerIntake = 40
-	for _, me := range []int{0, manyMost - 1} {
+	for _, me := range []int{0, leastCap - 1} {
 		s.Me = me
 		list := new([]told)
 		g, err := policy.New(s, 7, 100, &quiet{tell: func(to int, b []byte) { *list = append(*list, told{to, b}) }})
@@ -169,7 +169,7 @@
 			t.Fatal(err)
 		}
 		var servers []policy.Server
-		for i := range manyMost {
+		for i := range leastCap {
 			servers = append(servers, policy.Server{ID: fmt.Sprint("s", i), Zone: "z"})
 		}
 		g.Servers(100, servers, true)
@@ -178,13 +178,13 @@
 	for i := range 40 { // customers of both; each of them owns some
 		for me, g := range gates {
 			g.Request(100, policy.Request{ID: fmt.Sprint(me, "-", i), Class: "look", Plan: "basic", Customer: fmt.Sprintf("%016x", i),
-				DeadlineS: 102, First: manyMost - 1, Entries: 2, Units: 1})
+				DeadlineS: 102, First: leastCap - 1, Entries: 2, Units: 1})
 		}
 	}
 	for _, g := range gates {
 		g.Timer(100.2, 1)
 	}
-	for me, other := range map[int]int{0: manyMost - 1, manyMost - 1: 0} {
+	for me, other := range map[int]int{0: leastCap - 1, leastCap - 1: 0} {
 		if len(*sent[me]) == 0 {
 			t.Fatalf("gateway %d told nothing", me)
 		}
--- a/internal/ingress/start_times.go
+++ b/internal/ingress/start_times.go
@@ -9,7 +9,7 @@
 const (
 	// Two readings of the offset that differ by more than this have a step of the wall clock between them; less is
 	// drift, or the time between the readings of two clocks.
-	stepLeast = 0.25
+	minStep = 0.25
 	// Steps that are remembered. A start is told at most some seconds after it happened.
 	epochsKept = 16
 	// By how much a start may lie outside of an epoch, or in the future: machines read the clock at different moments.
@@ -40,7 +40,7 @@
 	offset := wall - now
 	if n := len(s.epochs); n == 0 {
 		s.epochs = append(s.epochs, wallEpoch{offset, now, math.Inf(-1)})
-	} else if last := &s.epochs[n-1]; math.Abs(offset-last.offset) > stepLeast {
+	} else if last := &s.epochs[n-1]; math.Abs(offset-last.offset) > minStep {
 		s.epochs = append(s.epochs, wallEpoch{offset, now, s.sampledAt})
 		s.epochs = s.epochs[max(0, len(s.epochs)-epochsKept):]
 	} else {
--- a/internal/ingress/system_calls_test.go
+++ b/internal/ingress/system_calls_test.go
@@ -174,8 +174,8 @@
 		{syscall.ENOBUFS, 3, policy.OK}, {syscall.EADDRNOTAVAIL, 3, policy.OK}, {syscall.ENETUNREACH, 3, policy.OK},
 		{syscall.EMFILE, 3, policy.OK}, {syscall.ENFILE, 3, policy.OK}, {syscall.ECONNABORTED, 3, policy.OK},
 		{syscall.EINTR, 3, policy.OK}, {syscall.EAGAIN, 3, policy.OK},
-		{syscall.ENOBUFS, 1 << 30, policy.Moot}, {syscall.EADDRNOTAVAIL, 1 << 30, policy.Moot},
-		{syscall.ENETUNREACH, 1 << 30, policy.Moot}, {syscall.EMFILE, 1 << 30, policy.Moot},
+		{syscall.ENOBUFS, 1 << 30, policy.NotSent}, {syscall.EADDRNOTAVAIL, 1 << 30, policy.NotSent},
+		{syscall.ENETUNREACH, 1 << 30, policy.NotSent}, {syscall.EMFILE, 1 << 30, policy.NotSent},
 		{syscall.ECONNREFUSED, 1, policy.ConnectFailed}, {syscall.ETIMEDOUT, 1, policy.ConnectFailed},
 		{syscall.EHOSTUNREACH, 1, policy.ConnectFailed}, {syscall.ECONNRESET, 1, policy.ConnectFailed},
 	} {
--- a/internal/ingress/trace.go
+++ b/internal/ingress/trace.go
@@ -16,7 +16,7 @@
 
 var statusNames = map[policy.Status]string{policy.OK: "ok", policy.Error: "error", policy.Full: "full",
 	policy.Timeout: "timeout", policy.ConnectFailed: "connect_failed", policy.Reset: "reset",
-	policy.Cancelled: "cancelled", policy.Moot: "moot"}
+	policy.Cancelled: "cancelled", policy.NotSent: "not_sent"}
 
 // tracing tells whether anybody reads a trace. It never changes.
 func (in *Ingress) tracing() bool { return in.log.Enabled(context.Background(), slog.LevelDebug) }
--- a/internal/ingress/window_test.go
+++ b/internal/ingress/window_test.go
@@ -33,10 +33,10 @@
 	c.send("CALL.POST", customer, "a", "c=hold,t=basic,k=5c0f,d=600000,units=2,spread=2,first=1", "body")
 	get(t, r.mod.requests)
 	whole := 0.0
-	r.do(func() { whole = r.in.requests["a"].attempts[0].whole })
+	r.do(func() { whole = r.in.requests["a"].attempts[0].writeDeadline })
 	passes(r.in, whole)
 	close(free)
-	if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+	if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
 		t.Errorf("got %+v", o)
 	}
 	b := get(t, conns)
@@ -57,7 +57,7 @@
 		passes(r.in, r.in.now+0.02)
 		r.in.Send("a", "s0", 0, 0.01)
 	})
-	if o := get(t, r.mod.outcomes); o.Status != policy.Moot {
+	if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
 		t.Errorf("got %+v", o)
 	}
 	r.do(func() { r.in.takeList(targets{Full: true}) })
@@ -90,9 +90,9 @@
 
 // Guards against a time to write by that outlives its command: the connection serves the next one.
 func TestTheWindowOfOneCommandBindsNoOther(t *testing.T) {
-	wholeS := 0.1
+	writeWithinS := 0.1
 	l, r := smallSockets(t, func(r *rig) {
-		r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", 0, wholeS) }
+		r.mod.onRequest = func(q policy.Request) { r.in.Send(q.ID, "s0", 0, writeWithinS) }
 	})
 	c := r.client()
 	post := func(id string) {
@@ -120,14 +120,14 @@
 		}
 		b = nil
 		get(t, r.mod.outcomes)
-		r.do(func() { r.in.fail(r.in.requests["a"]); wholeS *= 2 })
+		r.do(func() { r.in.fail(r.in.requests["a"]); writeWithinS *= 2 })
 		c.line()
 	}
 	r.until("it is noted", func() bool { return used.conn.written.Load() })
 	b.Write([]byte(value))
 	c.served("the first")
-	passes(r.in, used.whole+0.1) // a runtime timer that is late as well
-	r.do(func() { wholeS = 0 })
+	passes(r.in, used.writeDeadline+0.1) // a runtime timer that is late as well
+	r.do(func() { writeWithinS = 0 })
 	post("b")
 	if got := b.command(); len(got) != 5 || got[2] != "b" {
 		t.Errorf("the backend got %d words", len(got))
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -152,7 +152,7 @@
 		g.park(r)
 	case v == deny || !g.mayRetry(r): // a client's late try can arrive with no time left at all
 		if v != deny && r.cust != nil { // what came too late tells of no later try to come
-			defer func(at float64) { r.cust.turnedAt = at }(r.cust.turnedAt)
+			defer func(at float64) { r.cust.refusedAt = at }(r.cust.refusedAt)
 		}
 		g.refuse(r)
 	case v == wait:
@@ -176,7 +176,7 @@
 // the time that a client waits, or asks for more than its rate. Clients with little time ask for the first
 // time too, and what is inside the quota must not be refused for that.
 func (g *Gateway) triesAgain(c *customer, cls *class) bool {
-	return g.now-c.turnedAt < cls.DeadlineS || c.plan.Rate > 0 && g.demandNow(c)+c.others > c.plan.Rate
+	return g.now-c.refusedAt < cls.DeadlineS || c.plan.Rate > 0 && g.demandNow(c)+c.others > c.plan.Rate
 }
 
 // place sends the request on, or queues it when no server has room.
@@ -199,7 +199,7 @@
 		return
 	}
 	if r.cust != nil {
-		r.cust.turnedAt = g.now
+		r.cust.refusedAt = g.now
 	}
 	may := r.ran != nil || r.out > 0
 	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -128,7 +128,7 @@
 	ConnectFailed        // never reached the server; did not run
 	Reset                // the connection broke; may have run
 	Cancelled            // called off; may have run
-	Moot                 // not sent
+	NotSent              // not sent
 )
 
 // Load is a server's load report. Fields that were not reported are below 0.
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -325,7 +325,7 @@
 			req := &request{cls: g.classes[class]}
 			g.turns(req)
 			if s := g.coldTurn(req); s != nil {
-				s.turn -= g.inMeans(req) // as when it is sent
+				s.slowStartTurn -= g.inMeans(req) // as when it is sent
 				n++
 			}
 		}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -11,28 +11,28 @@
 
 // Times are in seconds.
 const (
-	ringPoints = 512  // points a gateway, as in the post, but
-	ringMost   = 8192 // on the whole ring no more than about so many
-	batchS     = 0.1  // least time between reports to one owner: "a few times a second"
-	gapS       = 0.1  // no event for so long: this gateway itself stood still
-	poolShare  = 0.5  // of a ceiling, that grants of the first gateway on the ring are paid from
-	anyIntake  = 1e6  // stands for no bound on it
-	lagS       = 0.05 // added to a verdict's age
-	demandTauS = 1.5  // memory of what a customer asks for
-	memberS    = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
-	forgetS    = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
+	ringPoints      = 512  // points a gateway, as in the post, but
+	maxRingPoints   = 8192 // on the whole ring no more than about so many
+	batchS          = 0.1  // least time between reports to one owner: "a few times a second"
+	gapS            = 0.1  // no event for so long: this gateway itself stood still
+	poolShare       = 0.5  // of a ceiling, that grants of the first gateway on the ring are paid from
+	unboundedIntake = 1e6  // stands for no bound on it
+	lagS            = 0.05 // added to a verdict's age
+	demandTauS      = 1.5  // memory of what a customer asks for
+	memberS         = 8.0  // a member unheard of a customer for so long asks nothing of it, and is forgotten
+	forgetS         = 10.0 // customers unused for longer are forgotten: after memberS at any owner, so that
 	// the count that starts at 0 then is not taken for units handed back
-	tickS       = 0.02 // how often queue and attempts are looked at
-	startLimit  = 3.0  // attempts out at one server, all gateways together, to begin with
-	stretchHigh = 0.22 // answers that take this share of their aim shrink a server's limit
-	lookAll     = 12   // gateways, up to which each looks at all servers
-	swing       = 4.0  // deviations of chance that many gateways may go above their part of the limit
-	utilS       = 3.0  // a load report counts for so long
-	connShare   = 0.4  // of the time after which idle ones close, for which they are counted on
-	wordLeast   = 0.2  // what one of many gateways' attempts weighs in what all tell of a server
-	hedgeSick   = 0.3  // attempts at servers so sick are tried elsewhere early
-	newsStepS   = 0.2  // and so much newer than what is known already; also the least silence that tells
-	busyTauS    = 1.0  // memory of what this gateway keeps out at a server
+	tickS         = 0.02 // how often queue and attempts are looked at
+	startLimit    = 3.0  // attempts out at one server, all gateways together, to begin with
+	stretchHigh   = 0.22 // answers that take this share of their aim shrink a server's limit
+	lookAtAllUpTo = 12   // gateways, up to which each looks at all servers
+	swing         = 4.0  // deviations of chance that many gateways may go above their part of the limit
+	utilS         = 3.0  // a load report counts for so long
+	connShare     = 0.4  // of the time after which idle ones close, for which they are counted on
+	minOwnWeight  = 0.2  // what one of many gateways' attempts weighs in what all tell of a server
+	hedgeSick     = 0.3  // attempts at servers so sick are tried elsewhere early
+	newsStepS     = 0.2  // and so much newer than what is known already; also the least silence that tells
+	busyTauS      = 1.0  // memory of what this gateway keeps out at a server
 )
 
 // Gateway decides for one gateway.
@@ -171,10 +171,10 @@
 	g.boot = uint8(g.rng.Uint32())
 	g.tokens, g.tokensAt = 2, now
 	g.limit = startLimit / float64(s.Gateways) // for one server
-	g.word = max(wordLeast, min(1, lookAll/float64(s.Gateways)))
-	g.swing = swing * max(0, 1-lookAll/float64(s.Gateways))
-	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), anyIntake)
-	g.setUp(min(ringPoints, max(8, ringMost/s.Gateways)))
+	g.word = max(minOwnWeight, min(1, lookAtAllUpTo/float64(s.Gateways)))
+	g.swing = swing * max(0, 1-lookAtAllUpTo/float64(s.Gateways))
+	g.s.PeerIntake = cmp.Or(max(s.PeerIntake, 0), unboundedIntake)
+	g.setUp(min(ringPoints, max(8, maxRingPoints/s.Gateways)))
 	g.act.SetTimer(1, tickS)
 	return g, nil
 }
--- a/policy/ledger.go
+++ b/policy/ledger.go
@@ -53,8 +53,8 @@
 	return max(l.demand, 0) * math.Exp((l.demandAt-now)/demandTauS)
 }
 
-// told takes a member's report into the sums, and returns the units it is beyond what was known.
-func (l *ledger) told(m *member, r record, now float64, f form) float64 {
+// takeReport takes a member's report into the sums, and returns the units it is beyond what was known.
+func (l *ledger) takeReport(m *member, r record, now float64, f form) float64 {
 	delta := f.quarters(r.Total - m.total)
 	l.demand = l.demandNow(now) + r.Rate - m.rate*math.Exp((m.at-now)/demandTauS)
 	l.demandAt = now
@@ -92,7 +92,7 @@
 		m = &member{boot: g.peers[from].boot, total: r.Total - r.Unacked}
 		l.members[from] = m
 	}
-	l.room = max(l.room-l.told(m, r, g.now, g.form), min(l.room, 0))
+	l.room = max(l.room-l.takeReport(m, r, g.now, g.form), min(l.room, 0))
 	v := record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true}
 	if r.Want > 0 {
 		grant := 0.0
--- a/policy/parallel.go
+++ b/policy/parallel.go
@@ -15,7 +15,7 @@
 	// That a slot is free again is told at once where others may wait for it.
 	scarce := n < 0 && r.cust.out+r.cust.othersOut >= r.plan.Parallel
 	if r.cust.out += n; r.plan.Parallel > 0 {
-		g.note(r.cust, scarce)
+		g.markForReport(r.cust, scarce)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -159,7 +159,7 @@
 	for _, c := range []struct {
 		status Status
 		want   string
-	}{{Full, "send"}, {ConnectFailed, "send"}, {Moot, "send"}, {Error, "fail"}, {Timeout, "fail"}, {Reset, "fail"}, {Cancelled, "fail"}} {
+	}{{Full, "send"}, {ConnectFailed, "send"}, {NotSent, "send"}, {Error, "fail"}, {Timeout, "fail"}, {Reset, "fail"}, {Cancelled, "fail"}} {
 		g, r := gateway(t, alone)
 		ask(g, 100, "p", "pay", "wide", 1)
 		first := r.of("send", "p")[0]
@@ -662,7 +662,7 @@
 		g.Peer(100, 1, b)
 	}
 	tell(1, record{Key: 77, Want: 6, First: 6})
-	tell(2, record{Key: 77, Want: 6, First: 6}) // told again, as the answer was lost
+	tell(2, record{Key: 77, Want: 6, First: 6}) // takeReport again, as the answer was lost
 	if room := g.custs[77].led.room; room != 2 {
 		t.Fatalf("room is %v after 6 of 8 were set aside, told twice", room)
 	}
@@ -826,7 +826,7 @@
 		t.Fatalf("%d news told on, want 2", len(items))
 	}
 	old := b.servers["s1"].utilAt
-	if b.told(item{b.servers["s1"].hash, loadItem, 0.1, old - 1}); b.servers["s1"].util < 0.5 {
+	if b.takeNews(item{b.servers["s1"].hash, loadItem, 0.1, old - 1}); b.servers["s1"].util < 0.5 {
 		t.Fatal("older news overtook newer")
 	}
 }
@@ -849,7 +849,7 @@
 func TestSilentOwnerLeavesTheRing(t *testing.T) {
 	g, _, ask := asMember(t, nil)
 	c := ask(100, "q", 1)
-	g.peers[1].missed, g.peers[1].missAt = missMost, 100
+	g.peers[1].missed, g.peers[1].missAt = maxMissed, 100
 	if g.owner(c) != 0 {
 		t.Fatal("a silent owner still owns")
 	}
@@ -873,7 +873,7 @@
 	if sent, _ := try("first", "x", 0.8); sent != 1 {
 		t.Fatal("a first try with little time was refused, of a customer that was never turned away")
 	}
-	g.customer(Request{Customer: "x", Plan: "basic"}).turnedAt = 149
+	g.customer(Request{Customer: "x", Plan: "basic"}).refusedAt = 149
 	if sent, refused := try("late", "x", 0.8); sent != 0 || refused != 1 {
 		t.Fatal("a try past its aim was sent on")
 	}
--- a/policy/quota.go
+++ b/policy/quota.go
@@ -27,7 +27,7 @@
 	first, entries int // entries 0: known from others' reports alone
 	prime          int // first on the ring of its gateways
 	usedAt         float64
-	turnedAt       float64 // when a request was last refused for want of quota or room
+	refusedAt      float64 // when a request was last refused for want of quota or room
 	total          float64 // own count of what was let in, ever
 	acked          float64 // as the owner last took it in
 	demand         float64 // units a second asked for here
@@ -110,8 +110,8 @@
 // an empty split of its ceiling, filling since this gateway's start.
 func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
 	c := &customer{key: key, plan: p, prime: g.s.Me, room: p.Burst, roomAt: g.now, usedAt: g.now,
-		turnedAt: math.Inf(-1),
-		ceilAt:   g.born, poolAt: g.born}
+		refusedAt: math.Inf(-1),
+		ceilAt:    g.born, poolAt: g.born}
 	g.custs[key] = c
 	return c
 }
@@ -192,7 +192,7 @@
 	}
 	c.total += units
 	if c.total > c.acked || units < 0 {
-		g.note(c, false)
+		g.markForReport(c, false)
 	}
 }
 
--- a/policy/repeat_test.go
+++ b/policy/repeat_test.go
@@ -129,11 +129,11 @@
 						s.at = now
 					}
 					if a.whole > 0 && s.at > now+a.whole {
-						s.status, s.done = Moot, true // as the sockets have it
-						g.Outcome(now, Outcome{ID: "k", Attempt: len(made), Status: Moot})
+						s.status, s.done = NotSent, true // as the sockets have it
+						g.Outcome(now, Outcome{ID: "k", Attempt: len(made), Status: NotSent})
 					}
 					for _, e := range made {
-						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != Moot
+						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != NotSent
 						if !ran || s.done {
 							continue
 						}
@@ -145,7 +145,7 @@
 					made = append(made, s)
 				case "refuse":
 					for _, e := range made {
-						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != Moot
+						ran := !e.done || e.status != Full && e.status != ConnectFailed && e.status != NotSent
 						if ran && (class.Effect == Unsafe || class.KeyScope != ScopeAll) {
 							t.Fatalf("seed %d: refused behind %+v, class %s", seed, e, class.Name)
 						}
--- a/policy/reports.go
+++ b/policy/reports.go
@@ -84,8 +84,8 @@
 	return false
 }
 
-// note marks the customer for the next report to its owner.
-func (g *Gateway) note(c *customer, urgent bool) {
+// markForReport marks the customer for the next report to its owner.
+func (g *Gateway) markForReport(c *customer, urgent bool) {
 	o := g.owner(c)
 	if o == g.s.Me {
 		c.acked = c.total
@@ -106,7 +106,7 @@
 	}
 	c.tries, c.waitFrom = 0, g.now
 	g.expect(c)
-	g.note(c, true)
+	g.markForReport(c, true)
 	g.flush()
 }
 
@@ -193,7 +193,7 @@
 				c.tries = 0
 				g.resolve(c, len(c.asks), func(r *request) bool { return g.localHolds(c, r.Units) }, false)
 			} else {
-				g.note(c, len(c.asks) > 0)
+				g.markForReport(c, len(c.asks) > 0)
 				if len(c.asks) > 0 {
 					c.waitFrom = g.now
 				}
@@ -236,7 +236,7 @@
 	p.missed = 0
 	g.inRate, g.inAt = g.inRate*math.Exp(g.inAt-now)+1, now
 	for _, n := range items {
-		g.told(n)
+		g.takeNews(n)
 	}
 	b := g.header()
 	for _, r := range recs {
@@ -272,7 +272,7 @@
 		}
 	}
 	if c.acked = min(most, c.total); most > c.total || len(c.asks) > 0 && c.asked == 0 {
-		g.note(c, len(c.asks) > 0)
+		g.markForReport(c, len(c.asks) > 0)
 	}
 	if len(c.asks) == 0 {
 		c.waitFrom, c.tries = 0, 0
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -87,7 +87,7 @@
 	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.speed*r.cls.lat/busyTauS, 1)
 	g.begin(r, s)
 	if g.coldShare(s) < 1 {
-		s.turn -= g.inMeans(r)
+		s.slowStartTurn -= g.inMeans(r)
 	}
 	whole := 0.0
 	if r.ran != nil && r.cls.Effect == Keyed {
@@ -105,8 +105,8 @@
 	}
 	g.report(a.srv, o.Load)
 	g.learn(r, a, o)
-	r.written = r.written || o.Status != ConnectFailed && o.Status != Moot
-	if o.Status != Full && o.Status != ConnectFailed && o.Status != Moot {
+	r.written = r.written || o.Status != ConnectFailed && o.Status != NotSent
+	if o.Status != Full && o.Status != ConnectFailed && o.Status != NotSent {
 		r.mayHaveRun(a)
 	}
 	if o.Status == OK && g.s.TrueUp && r.taken && o.Units > 0 {
--- a/policy/ring.go
+++ b/policy/ring.go
@@ -10,7 +10,7 @@
 
 // Times are in seconds.
 const (
-	missMost     = 3   // a peer that leaves so many unanswered is silent: it leaves the ring
+	maxMissed    = 3   // a peer that leaves so many unanswered is silent: it leaves the ring
 	silentRetryS = 1.0 // for so long
 )
 
@@ -51,7 +51,7 @@
 // alive tells that a peer answers: reports in a row without one take it off the ring for a while.
 func (g *Gateway) alive(gw int) bool {
 	p := &g.peers[gw]
-	return gw == g.s.Me || p.missed < missMost || g.now-p.missAt > silentRetryS
+	return gw == g.s.Me || p.missed < maxMissed || g.now-p.missAt > silentRetryS
 }
 
 // owner is the gateway that counts the customer.
--- a/policy/server_choice.go
+++ b/policy/server_choice.go
@@ -8,34 +8,34 @@
 
 // Times are in seconds.
 const (
-	lookLeast   = 2    // healthy servers looked at for a request, at least
-	utilWeight  = 2.0  // attempts that a server's cores all busy stand for
-	partWeight  = 1.0  // of its part of the limit by its speed that a server may hold
-	crossWeight = 25.0 // attempts out that the price of crossing zones stands for, a point of 1
-	connWeight  = 24.0 // the same for the price of a new connection
-	againWeight = 4.0  // the same for a server that the request was sent to before
-	sickWeight  = 30.0 // how far
+	minServersLooked = 2    // healthy servers looked at for a request, at least
+	utilWeight       = 2.0  // attempts that a server's cores all busy stand for
+	partWeight       = 1.0  // of its part of the limit by its speed that a server may hold
+	crossWeight      = 25.0 // attempts out that the price of crossing zones stands for, a point of 1
+	connWeight       = 24.0 // the same for the price of a new connection
+	againWeight      = 4.0  // the same for a server that the request was sent to before
+	sickWeight       = 30.0 // how far
 )
 
 type server struct {
 	Server
-	hash         uint16
-	listed       bool
-	inflight     int
-	speed        float64 // latency against the class's mean
-	sentAt       float64
-	conns        int     // connections there, as far as attempts tell
-	busy         float64 // mean attempts out here of late
-	util, utilAt float64
-	askedAt      float64 // last probe
-	sick         []sick  // by class
-	okAt         []float64
-	errs         []int // by class: errors since it last answered
-	broken       int   // attempts that found no connection, or lost it, since it last answered
-	fulls        int   // attempts it turned away since then
-	downUntil    float64
-	turn         float64 // while cold: what of a whole attempt is its part by now
-	turnAt       float64 // when it came to that
+	hash            uint16
+	listed          bool
+	inflight        int
+	speed           float64 // latency against the class's mean
+	sentAt          float64
+	conns           int     // connections there, as far as attempts tell
+	busy            float64 // mean attempts out here of late
+	util, utilAt    float64
+	askedAt         float64 // last probe
+	sick            []sick  // by class
+	okAt            []float64
+	errs            []int // by class: errors since it last answered
+	broken          int   // attempts that found no connection, or lost it, since it last answered
+	fulls           int   // attempts it turned away since then
+	downUntil       float64
+	slowStartTurn   float64 // while cold: what of a whole attempt is its part by now
+	slowStartTurnAt float64 // when it came to that
 }
 
 // connected tells that a connection to the server most likely stands idle.
@@ -68,7 +68,7 @@
 		return nil
 	}
 	g.turns(r)
-	many := g.s.Gateways > lookAll
+	many := g.s.Gateways > lookAtAllUpTo
 	if many {
 		if s := g.coldTurn(r); s != nil {
 			return s
@@ -76,7 +76,7 @@
 	}
 	// With many gateways each looks at a few servers only: all would pick the same one by the same news.
 	n := len(g.order)
-	look, from := max(lookLeast, n*lookAll/g.s.Gateways), g.rng.IntN(max(1, n))
+	look, from := max(minServersLooked, n*lookAtAllUpTo/g.s.Gateways), g.rng.IntN(max(1, n))
 	for k := 0; k < n && look > 0; k++ {
 		s := g.order[(from+k)%n]
 		if s.State != Up || g.now < s.downUntil || g.coldShare(s) < 1 && (many || !g.turnDue(s)) ||
@@ -86,7 +86,7 @@
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does, but one
 		// of many tells little of the rest.
-		others := float64(min(g.s.Gateways, lookAll) - 1)
+		others := float64(min(g.s.Gateways, lookAtAllUpTo) - 1)
 		load := float64(s.inflight) + 1 + others*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
 		if s.Zone != g.s.Zone {
 			load += crossWeight * g.s.CrossZonePrice
--- a/policy/server_health.go
+++ b/policy/server_health.go
@@ -23,7 +23,7 @@
 	onceSick      = 0.1  // how sick that one makes it
 	errorsSick    = 0.9  // the same for errors in a row: they come fast, and draw work on a server
 	fullS         = 0.05 // a server that turns work away is left alone so long, twice as long each time
-	fullMostS     = 0.8  // and at most
+	maxFullS      = 0.8  // and at most
 	timeoutWeight = 0.15 // how far one attempt that timed out moves a server's speed and limit
 )
 
@@ -93,8 +93,8 @@
 	}
 }
 
-// told takes in what another gateway tells of a server, and tells it on while it is new.
-func (g *Gateway) told(n item) {
+// takeNews takes in what another gateway tells of a server, and tells it on while it is new.
+func (g *Gateway) takeNews(n item) {
 	s := g.byHash[n.server]
 	if s == nil || s.SinceS > n.at {
 		return
@@ -147,7 +147,7 @@
 		s.downUntil = g.now + downS*(1+g.rng.Float64())
 	case Full:
 		s.fulls++
-		s.downUntil = max(s.downUntil, g.now+min(fullS*math.Exp2(float64(s.fulls-1)), fullMostS))
+		s.downUntil = max(s.downUntil, g.now+min(fullS*math.Exp2(float64(s.fulls-1)), maxFullS))
 	}
 	if !tells {
 		return
--- a/policy/server_list.go
+++ b/policy/server_list.go
@@ -17,7 +17,7 @@
 		if s == nil {
 			s = newServer(g)
 			s.hash = uint16(hashOf(e.ID))
-			s.turn = g.firstTurn(s)
+			s.slowStartTurn = g.firstTurn(s)
 			g.servers[e.ID] = s
 			g.index(s)
 		} else if e.SinceS != s.SinceS && e.SinceS > 0 {
@@ -65,7 +65,7 @@
 	g.clock(now)
 	before := float64(max(1, len(g.order)))
 	g.list(list, whole, func(s *server) {
-		s.speed, s.downUntil, s.broken, s.fulls, s.conns, s.turn = 1, 0, 0, 0, 0, g.firstTurn(s)
+		s.speed, s.downUntil, s.broken, s.fulls, s.conns, s.slowStartTurn = 1, 0, 0, 0, 0, g.firstTurn(s)
 		clear(s.sick)
 		clear(s.errs)
 	})
--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -8,10 +8,10 @@
 
 // Times are in seconds.
 const (
-	carriedLeast = 0.5  // of what is offered, taken for carried: a gateway that is new has carried nothing yet
-	turnLeast    = 0.15 // of its part of all work, that a cold server gets from many gateways,
-	turnRise     = 0.65 // and so much more by the share of its capacity that it has
-	turnUnsafe   = 0.35 // with less of that it gets nothing that must not run twice
+	minCarried = 0.5  // of what is offered, taken for carried: a gateway that is new has carried nothing yet
+	turnMin    = 0.15 // of its part of all work, that a cold server gets from many gateways,
+	turnRise   = 0.65 // and so much more by the share of its capacity that it has
+	turnUnsafe = 0.35 // with less of that it gets nothing that must not run twice
 )
 
 // coldShare is the least part of its capacity that the server must have by now.
@@ -75,11 +75,11 @@
 	g.offered += r.cls.lat
 	for _, s := range g.order {
 		if share := g.coldShare(s); share < 1 && s.State == Up && g.now >= s.downUntil {
-			if s.turn >= 1 && g.now-s.turnAt > g.s.FallS {
-				s.turn = 0 // turns that many could not take must not all be taken at once
+			if s.slowStartTurn >= 1 && g.now-s.slowStartTurnAt > g.s.FallS {
+				s.slowStartTurn = 0 // turns that many could not take must not all be taken at once
 			}
-			if s.turn < 1 {
-				s.turn, s.turnAt = min(s.turn+g.coldPart(share)*g.inMeans(r), 1), g.now
+			if s.slowStartTurn < 1 {
+				s.slowStartTurn, s.slowStartTurnAt = min(s.slowStartTurn+g.coldPart(share)*g.inMeans(r), 1), g.now
 			}
 		}
 	}
@@ -90,17 +90,17 @@
 // do, the more its load swings: from many gateways, which can't see that, it gets less as long as others
 // can take the rest.
 func (g *Gateway) coldPart(share float64) float64 {
-	most := share * g.s.FallMultiple / max(g.up, 1) * min(max(g.carried/max(g.offered, 1e-9), carriedLeast), 1)
-	if g.s.Gateways <= lookAll {
+	most := share * g.s.FallMultiple / max(g.up, 1) * min(max(g.carried/max(g.offered, 1e-9), minCarried), 1)
+	if g.s.Gateways <= lookAtAllUpTo {
 		return most
 	}
 	all := max(g.shares, share)
-	return min(most, max(share*(turnLeast+turnRise*share)/all, most*math.Pow(g.coldShares/all, 2)))
+	return min(most, max(share*(turnMin+turnRise*share)/all, most*math.Pow(g.coldShares/all, 2)))
 }
 
 // turnDue tells that it is this gateway's turn at a cold server.
 func (g *Gateway) turnDue(s *server) bool {
-	return s.turn >= 1 && g.now-s.turnAt <= g.s.FallS && s.inflight < 2
+	return s.slowStartTurn >= 1 && g.now-s.slowStartTurnAt <= g.s.FallS && s.inflight < 2
 }
 
 // coldTurn picks the cold server of many gateways whose turn it is, nil if there is none for this request.
