Shut down a connection's sending side before it is closed over answers on their way

What fits: a command that comes in the moment of the close makes it a reset, which destroys answers that the client has not received, and a pipelining client has several on their way. Change: where an answer was written within a second, the sending side alone ends, and what still comes is dropped for half a second at most; so too at the end of a drain. The test fails without it.

--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -15,12 +15,16 @@
 )
 
 const (
-	maxPipelined       = 32              // commands of one connection that may be open
-	commandTimeout     = 2 * time.Second // an answer is owed to what can't be read within 3 s
-	maxClientErrors    = 8               // bad commands of one connection; then it is closed
-	lingerTimeout      = 2 * time.Second // how long a refused client's bytes are read and dropped
-	maxLingerBytes     = 1 << 20         // and how many
-	clientIdleTimeoutS = 10.0            // seconds for which a connection may stand idle
+	maxPipelined    = 32              // commands of one connection that may be open
+	commandTimeout  = 2 * time.Second // an answer is owed to what can't be read within 3 s
+	maxClientErrors = 8               // bad commands of one connection; then it is closed
+	lingerTimeout   = 2 * time.Second // how long a refused client's bytes are read and dropped
+	maxLingerBytes  = 1 << 20         // and how many
+	// How long a client may take to close its side of a connection that this side has shut down.
+	shutdownTimeout = 500 * time.Millisecond
+	// An answer that was written so many seconds ago has come, so that a reset of its connection can't destroy it.
+	answerInFlightS    = 1.0
+	clientIdleTimeoutS = 10.0 // seconds for which a connection may stand idle
 	minClients         = 8
 	acceptRetry        = 5 * time.Millisecond
 	lateClientGrace    = 100 * time.Millisecond // for a command on a connection that came last
@@ -51,6 +55,7 @@
 	quit    chan struct{} // closed with the connection
 	pausing atomic.Bool   // the loop wants the reader to stand still between commands
 	began   atomic.Bool   // something has been read
+	discard atomic.Bool   // the reader is to drop what still comes
 
 	progressAt atomicTime // when a write that the socket had no room for last went on
 
@@ -73,6 +78,7 @@
 	spoke    bool        // a whole command has come
 	ending   bool        // the last answer is written, what still comes is read and dropped
 	lingered bool        // for long enough
+	shut     bool        // its sending side is shut down: nothing more is answered, what comes is dropped
 	surplus  bool        // beyond the bound: what it asks is refused while that holds
 	asked    bool        // its reader is to stand still, so that the connection can be closed
 	used     bool        // since then
@@ -167,7 +173,7 @@
 		return
 	}
 	if (in.leaving || !c.used) && c.idle() && len(c.buf.b) == 0 && silent(c.raw) {
-		in.closeClient(c, c.closing, nil)
+		in.closeGracefully(c)
 		return
 	}
 	c.asked = false
@@ -177,6 +183,34 @@
 	in.clients.trim(in) // another one has to go in its place
 }
 
+// closeGracefully ends a connection on which nothing is owed. Bytes may come in this very moment: a close over them
+// would reset the connection, and with it destroy answers that the client has not received yet. So where one was
+// written of late only the sending side is shut down, and what still comes is read and dropped until the client
+// closes too; it sends what it had asked meanwhile once more.
+func (in *Ingress) closeGracefully(c *client) {
+	if in.now-c.usedAt > answerInFlightS {
+		in.closeClient(c, c.closing, nil)
+		return
+	}
+	in.shutDown(c)
+	c.discard.Store(true)
+	c.resume <- struct{}{}
+}
+
+// shutDown ends the sending side of a connection.
+func (in *Ingress) shutDown(c *client) {
+	c.shut = true
+	c.conn.CloseWrite()
+}
+
+// dropInput reads and drops what still comes, for a while. It returns whether the client has closed its side.
+func (c *client) dropInput(timeout time.Duration) (closed bool) {
+	c.buf.free()
+	c.conn.SetReadDeadline(time.Now().Add(timeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, maxLingerBytes))
+	return n < maxLingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // rank orders the connections that may be closed for others: first those that were told their last
 // answer, then those that have said nothing, then those that idle, then those whose first word has come but
 // was not heard yet: they could not be closed, and others would have to wait for that. Those that have taken
@@ -335,6 +369,11 @@
 			in.post(at, func() { in.paused(c) })
 			select {
 			case <-c.resume:
+				if c.discard.Load() {
+					c.dropInput(shutdownTimeout)
+					in.post(in.clock.now(), func() { in.closeClient(c, c.closing, nil) })
+					return
+				}
 				limit(until)
 			case <-c.quit:
 				return
@@ -401,9 +440,7 @@
 	answer := errorOf(bad)
 	c.buf.free()
 	in.post(at, func() { in.answerAtOnce(c, answer, true) })
-	c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	n, err := io.Copy(io.Discard, io.LimitReader(c.conn, maxLingerBytes))
-	gone := n < maxLingerBytes && !errors.Is(err, os.ErrDeadlineExceeded)
+	gone := c.dropInput(lingerTimeout)
 	in.post(in.clock.now(), func() {
 		if c.lingered = true; gone || c.idle() {
 			in.clientGone(c, protocolError, bad)
@@ -441,7 +478,7 @@
 
 // answerAtOnce answers a command that never reaches the module.
 func (in *Ingress) answerAtOnce(c *client, answer []byte, last bool) {
-	if c.closed {
+	if c.closed || c.shut {
 		return
 	}
 	c.spoke = true
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -154,3 +155,40 @@
 		})
 	}
 }
+
+// TestACloseDestroysNoAnswer guards against answers that are lost with the reset of a connection, as a command comes
+// in the moment in which it is closed between requests: the sending side alone ends, until the client has closed too.
+func TestACloseDestroysNoAnswer(t *testing.T) {
+	for name, end := range map[string]func(r *rig){
+		"drain":   func(r *rig) { r.in.leave() },
+		"evicted": func(r *rig) { r.in.clients.limit = 1; r.in.clients.full(r.in, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := start(t, testConfig(noDiscovery), busy)
+			c := r.client()
+			for i := range 3 {
+				c.send(look(fmt.Sprint("a", i))...)
+				get(t, r.mod.requests)
+			}
+			r.until("all is answered", func() bool { return r.one() != nil && r.one().idle() })
+			r.do(func() { end(r) })
+			r.until("its end has come", func() bool { return r.in.clients.open() == 0 || r.one().shut })
+			r.do(func() {
+				if r.in.clients.open() != 1 {
+					t.Error("the connection is closed under answers that are on their way")
+				}
+			})
+			c.send(look("b")...) // crosses the end
+			for i := range 3 {
+				if got := c.line(); got != "-BUSY 500" {
+					t.Errorf("answer %d is %q", i, got)
+				}
+			}
+			if got := c.line(); got != "" || len(r.mod.requests) != 0 {
+				t.Errorf("behind them came %q, and %d requests were read", got, len(r.mod.requests))
+			}
+			c.Close()
+			r.until("the connection is closed", func() bool { return r.in.clients.open() == 0 })
+		})
+	}
+}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -40,7 +40,7 @@
 		}
 	}()
 	switch {
-	case c.closed:
+	case c.closed, c.shut:
 		return
 	case in.stopped:
 		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
@@ -145,6 +145,11 @@
 	}
 	in.clients.closeIdle(in)
 	in.after(drainSpare.Seconds()/2, func() {
+		for c := range in.clients.all {
+			in.shutDown(c)
+		}
+	})
+	in.after(drainSpare.Seconds()*3/4, func() {
 		for c := range in.clients.all {
 			in.closeClient(c, drainDeadline, nil)
 		}
