--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -43,7 +43,7 @@
 	l.End()
 }
 
-func (a actions) Refuse(id string, retryInS float64) {
+func (a actions) Refuse(id string, retryInS float64, _ policy.Reason) {
 	l := a.w.Begin("BOUNCE", a.i).ID("id", id)
 	if retryInS > 0 {
 		l.Num("retryInS", retryInS)
@@ -51,7 +51,7 @@
 	l.End()
 }
 
-func (a actions) Fail(id string) { a.w.Begin("ERROR", a.i).ID("id", id).End() }
+func (a actions) Fail(id string, _ policy.Reason) { a.w.Begin("ERROR", a.i).ID("id", id).End() }
 
 func (a actions) Cancel(id string, attempt int) {
 	a.w.Begin("STOP_ATTEMPT", a.i).ID("id", id).Int("hop", int64(attempt)).End()
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -22,6 +22,27 @@
 	timer         *timer  // rings then
 	conn          *backConn
 	done          bool
+	kind          attemptKind
+}
+
+// attemptKind tells why an attempt is made.
+type attemptKind string
+
+const (
+	firstTry attemptKind = "first"
+	retry    attemptKind = "retry" // none is out any more
+	hedge    attemptKind = "hedge" // beside one that is out
+)
+
+// kindOf is the kind of a request\'s next attempt.
+func kindOf(r *request) attemptKind {
+	switch {
+	case len(r.attempts) == 0:
+		return firstTry
+	case r.out > 0:
+		return hedge
+	}
+	return retry
 }
 
 // Send implements policy.Actions.
@@ -39,6 +60,7 @@
 	if writeWithinS != 0 {
 		a.writeDeadline = in.now + writeWithinS
 	}
+	a.kind = kindOf(r)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	switch {
@@ -176,7 +198,7 @@
 	r := a.req
 	r.out--
 	if res.status == policy.OK {
-		in.answer(r, res.value)
+		in.answer(r, res.value, served)
 	}
 	in.forget(r)
 	server := ""
--- a/internal/ingress/client_write_test.go
+++ b/internal/ingress/client_write_test.go
@@ -94,7 +94,7 @@
 		r.in.clients.limit = 2
 		r.mod.onRequest = func(q policy.Request) {
 			req := r.in.requests[q.ID]
-			r.in.answer(req, []byte(strings.Repeat("x", 60_000)))
+			r.in.answer(req, []byte(strings.Repeat("x", 60_000)), served)
 		}
 	})
 	stuck := r.client()
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -461,8 +461,7 @@
 		}
 		if !in.input.take(call.size) {
 			in.post(at, func() {
-				in.warn("request refused: too much input waits", "bytes", call.size)
-				in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+				in.refuseAtOnce(c, call, inputUsedUp)
 			})
 			return nil
 		}
--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"reedlead/policy"
 )
 
 // base tells what an ingress with nothing to do holds: timers and budget.
@@ -54,7 +56,7 @@
 			q := r.in.requests["a"]
 			return q != nil && len(q.client.slots) == 2
 		})
-		r.do(func() { r.in.Fail("a") })
+		r.do(func() { r.in.Fail("a", policy.NoTimeLeft) })
 		if a, b := c.line(), c.line(); a != "-ERR failed" || b != want || c.line() != "" {
 			t.Errorf("got %q, then %q", a, b)
 		}
@@ -73,7 +75,7 @@
 		q := r.in.requests["a"]
 		return q != nil && q.client.lingered
 	})
-	r.do(func() { r.in.Fail("a") })
+	r.do(func() { r.in.Fail("a", policy.NoTimeLeft) })
 	if a, b := c.line(), c.line(); a != "-ERR failed" || !strings.Contains(b, "value over 64 KiB") || c.line() != "" {
 		t.Errorf("got %q, then %q", a, b)
 	}
@@ -127,7 +129,7 @@
 	if idle.line() != "" {
 		t.Error("the idle connection is open")
 	}
-	r.do(func() { r.in.Fail("a") })
+	r.do(func() { r.in.Fail("a", policy.NoTimeLeft) })
 	if got := busy.line(); got != "-ERR failed" {
 		t.Errorf("the connection with an open request got %q", got)
 	}
@@ -171,7 +173,7 @@
 		t.Errorf("half a command beyond the budget got %q", got)
 	}
 	for _, id := range []string{"a", "b", "c"} {
-		r.do(func() { r.in.Fail(id) })
+		r.do(func() { r.in.Fail(id, policy.NoTimeLeft) })
 	}
 	for i := range 3 {
 		if got := c.line(); got != "-ERR failed" && got != "-BUSY 1000" {
--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -10,7 +10,9 @@
 )
 
 // busy has the module refuse each request, so that the answer tells that it was asked.
-func busy(r *rig) { r.mod.onRequest = func(q policy.Request) { r.in.Refuse(q.ID, 0.5) } }
+func busy(r *rig) {
+	r.mod.onRequest = func(q policy.Request) { r.in.Refuse(q.ID, 0.5, policy.QuotaReached) }
+}
 
 // one is the connection of the only client.
 func (r *rig) one() (c *client) {
@@ -58,7 +60,7 @@
 		get(t, r.mod.requests)
 		r.do(r.in.leave)
 		busy(r)
-		r.still(func() { c.send(look("b")...) }, r.queued(1), func() { r.in.Fail("a") })
+		r.still(func() { c.send(look("b")...) }, r.queued(1), func() { r.in.Fail("a", policy.NoTimeLeft) })
 		if a, b := c.line(), c.line(); a != "-ERR failed" || b != "-BUSY 500" {
 			t.Errorf("got %q and %q", a, b)
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -399,7 +399,7 @@
 			if b.command() != nil {
 				t.Error("more was sent on a connection that was given up")
 			}
-			r.do(func() { r.in.Refuse("a", 0.25) })
+			r.do(func() { r.in.Refuse("a", 0.25, policy.QuotaReached) })
 			if got := c.line(); got != "-BUSY 250" {
 				t.Errorf("client got %q", got)
 			}
@@ -418,7 +418,12 @@
 	io.WriteString(c, command(look("a")...)+command(look("b")...)+command("PING")+command("SELECT", "0"))
 	get(t, r.mod.requests)
 	get(t, r.mod.requests)
-	r.do(func() { r.in.Refuse("b", 1); r.in.Fail("b"); r.in.Fail("a"); r.in.Refuse("a", 1) })
+	r.do(func() {
+		r.in.Refuse("b", 1, policy.QuotaReached)
+		r.in.Fail("b", policy.NoTimeLeft)
+		r.in.Fail("a", policy.NoTimeLeft)
+		r.in.Refuse("a", 1, policy.QuotaReached)
+	})
 	c.send("PING")
 	for i, want := range []string{"-ERR failed", "-BUSY 1000", "+PONG", "-ERR unknown command \"SELECT\"", "+PONG"} {
 		if got := c.line(); got != want {
@@ -454,7 +459,7 @@
 			r.in.takeList(targets{Servers: []target{{ID: "s0", Addr: addr, State: "terminating"}}})
 		},
 		"gone": func(r *rig) { r.in.takeList(targets{Full: true}) },
-		"over": func(r *rig) { r.in.Refuse("a", 0) },
+		"over": func(r *rig) { r.in.Refuse("a", 0, policy.QuotaReached) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			dialing, free := make(chan struct{}), make(chan struct{})
@@ -699,7 +704,7 @@
 	if len(r.mod.requests) != 0 {
 		t.Error("the module was asked about a request that was refused for it")
 	}
-	r.do(func() { r.in.Fail("a") })
+	r.do(func() { r.in.Fail("a", policy.NoTimeLeft) })
 	next.send(look("c")...)
 	if q := get(t, r.mod.requests); q.ID != "c" || busy.line() != "-ERR failed" || busy.line() != "" {
 		t.Errorf("with room made: %+v", q)
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -361,7 +361,7 @@
 			} else { // what was sent before a FIN stays readable
 				c.Conn.(*net.TCPConn).CloseWrite()
 			}
-			r.still(func() {}, left, func() { r.in.Fail("r0") }) // the next command has its permit
+			r.still(func() {}, left, func() { r.in.Fail("r0", policy.NoTimeLeft) }) // the next command has its permit
 			for end := false; !end; {
 				select {
 				case <-conns:
--- /dev/null
+++ b/internal/ingress/reason_test.go
@@ -0,0 +1,96 @@
+package ingress
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// logged is an ingress whose log at debug level is kept.
+func logged(r *rig) *lockedBuffer {
+	log := &lockedBuffer{}
+	r.in.log = slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	return log
+}
+
+// line waits for a line of the log that holds all of some words.
+func (l *lockedBuffer) line(t *testing.T, words ...string) {
+	t.Helper()
+	has := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for line := range strings.Lines(l.b.String()) {
+			all := true
+			for _, word := range words {
+				all = all && strings.Contains(line, word)
+			}
+			if all {
+				return true
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(patience); !has(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			t.Fatalf("no line with %q in\n%s", words, l.b.String())
+		}
+	}
+}
+
+// TestEveryEndHasAReason guards against connections and requests that end without a word of why, and of what was owed.
+func TestEveryEndHasAReason(t *testing.T) {
+	addr, conns := listen(t)
+	var log *lockedBuffer
+	r := start(t, testConfig(addr), func(r *rig) {
+		sendTo(0)(r)
+		log = logged(r)
+	})
+	left := r.client()
+	left.send(look("a")...)
+	b := get(t, conns)
+	b.command()
+	left.Close()
+	log.line(t, "level=INFO", "client connection closed", "connection=1", "reason=peer_closed", "owed=[a]")
+	b.Close()
+	log.line(t, "level=INFO", "backend connection closed", "backend=s0", "reason=peer_closed", "id=a")
+
+	idle := r.client()
+	idle.send("PING")
+	idle.line()
+	r.do(func() { r.in.now += clientIdleTimeoutS + 1; r.in.clients.sweep(r.in) })
+	log.line(t, "level=DEBUG", "client connection closed", "connection=2", "reason=idle_timeout")
+
+	busy(r)
+	refused := r.client()
+	refused.send(look("b")...)
+	refused.line()
+	log.line(t, "answered", "id=b", "word=BUS", "reason=quota_reached")
+	refused.Conn.Write([]byte("junk\r\n"))
+	refused.line()
+	refused.Close()
+	log.line(t, "client connection closed", "connection=3", "reason=protocol_error")
+
+	r.do(func() { r.in.stopped = true })
+	late := r.client()
+	late.send(look("c")...)
+	late.line()
+	log.line(t, "request refused", "id=c", "connection=4", "reason=process_ends")
+}
+
+// TestAttemptsTellTheirKind guards the trace's word of why an attempt was made.
+func TestAttemptsTellTheirKind(t *testing.T) {
+	r := &request{}
+	if got := kindOf(r); got != firstTry {
+		t.Errorf("got %s", got)
+	}
+	r.attempts, r.out = []*attempt{{}}, 1
+	if got := kindOf(r); got != hedge {
+		t.Errorf("beside another: %s", got)
+	}
+	if r.out = 0; kindOf(r) != retry {
+		t.Errorf("after another: %s", kindOf(r))
+	}
+}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/tidwall/redcon"
+
+	"reedlead/policy"
 )
 
 // request is one that a client has sent and that is owed one final answer.
@@ -43,17 +45,16 @@
 	case c.closed, c.shut:
 		return
 	case in.stopped:
-		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+		in.refuseAtOnce(c, q, processEnds)
 		return
 	case c.surplus && in.clients.full(in, c):
-		in.warn("request refused: too many connections", "open", in.clients.open())
-		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+		in.refuseAtOnce(c, q, connectionsUsedUp)
 		return
 	case in.requests[q.ID] != nil:
 		in.answerAtOnce(c, redcon.AppendError(nil, "ERR a request of this id is open"), false)
 		return
 	case in.cfg.Settings.MostHeld > 0 && len(in.requests) >= in.cfg.Settings.MostHeld:
-		in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+		in.refuseAtOnce(c, q, tooManyHeld)
 		return
 	}
 	taken = true
@@ -67,14 +68,14 @@
 	// The module answers well before; should it fail to, the client hears all the same.
 	r.timer = in.after(r.deadline+in.cfg.Settings.AnswerSlackS-in.now, func() {
 		in.warn("no answer from the module in time", "id", r.ID)
-		in.fail(r)
+		in.fail(r, noDecision)
 		in.decider.Gone(in.now, r.ID)
 	})
 	q.Request.DeadlineS = r.deadline
 	handed := false
 	defer func() { // a panic in the module must not leave a request that nothing was sent for hanging
 		if !handed && len(r.attempts) == 0 {
-			in.fail(r)
+			in.fail(r, noDecision)
 		}
 	}()
 	in.decider.Request(in.now, q.Request)
@@ -82,9 +83,9 @@
 }
 
 // Refuse implements policy.Actions.
-func (in *Ingress) Refuse(id string, retryInS float64) {
+func (in *Ingress) Refuse(id string, retryInS float64, why policy.Reason) {
 	if r := in.requests[id]; r != nil {
-		in.answer(r, in.busy(retryInS))
+		in.answer(r, in.busy(retryInS), why)
 	}
 }
 
@@ -96,21 +97,39 @@
 }
 
 // Fail implements policy.Actions.
-func (in *Ingress) Fail(id string) {
+func (in *Ingress) Fail(id string, why policy.Reason) {
 	if r := in.requests[id]; r != nil {
-		in.fail(r)
+		in.fail(r, why)
 	}
 }
 
-func (in *Ingress) fail(r *request) { in.answer(r, redcon.AppendError(nil, "ERR failed")) }
+func (in *Ingress) fail(r *request, why policy.Reason) {
+	in.answer(r, redcon.AppendError(nil, "ERR failed"), why)
+}
+
+// Why this side refuses a request, or fails it, beside what the module decides.
+const (
+	processEnds       policy.Reason = "process_ends"
+	connectionsUsedUp policy.Reason = "connections_used_up"
+	tooManyHeld       policy.Reason = "too_many_held"
+	inputUsedUp       policy.Reason = "input_memory_used_up"
+	noDecision        policy.Reason = "no_decision_in_time"
+	served            policy.Reason = ""
+)
+
+// refuseAtOnce refuses a request that the module never hears of.
+func (in *Ingress) refuseAtOnce(c *client, q *call, why policy.Reason) {
+	in.warn("request refused", "id", q.ID, "connection", c.number, "reason", string(why))
+	in.answerAtOnce(c, in.busy(in.cfg.Settings.MaxRetryAfterS), false)
+}
 
-// answer gives the final answer, the first time that it is called for a request.
-func (in *Ingress) answer(r *request, answer []byte) {
+// answer gives the final answer, the first time that it is called for a request, and why it is no value.
+func (in *Ingress) answer(r *request, answer []byte, why policy.Reason) {
 	if r.over {
 		return
 	}
 	r.slot.answer = answer
-	in.traceAnswer(r, answer)
+	in.traceAnswer(r, answer, why)
 	in.end(r)
 	in.flush(r.client)
 }
@@ -139,7 +158,7 @@
 	}
 	for _, r := range in.requests {
 		if !r.over {
-			in.fail(r)
+			in.fail(r, processEnds)
 			in.decider.Gone(in.now, r.ID)
 		}
 	}
--- a/internal/ingress/size_test.go
+++ b/internal/ingress/size_test.go
@@ -143,7 +143,7 @@
 			}
 			c.send(look("a")...)
 			get(t, r.mod.requests)
-			r.do(func() { r.in.answer(r.in.requests["a"], redcon.AppendError(nil, "BUSY")) })
+			r.do(func() { r.in.answer(r.in.requests["a"], redcon.AppendError(nil, "BUSY"), policy.QuotaReached) })
 			if got := c.line(); got != "-BUSY" {
 				t.Errorf("a request got %q", got)
 			}
@@ -206,8 +206,8 @@
 type quiet struct{ tell func(int, []byte) }
 
 func (q *quiet) Send(string, string, float64, float64) {}
-func (q *quiet) Refuse(string, float64)                {}
-func (q *quiet) Fail(string)                           {}
+func (q *quiet) Refuse(string, float64, policy.Reason) {}
+func (q *quiet) Fail(string, policy.Reason)            {}
 func (q *quiet) Cancel(string, int)                    {}
 func (q *quiet) SetTimer(uint64, float64)              {}
 func (q *quiet) Probe(string)                          {}
--- a/internal/ingress/start_times_test.go
+++ b/internal/ingress/start_times_test.go
@@ -95,13 +95,13 @@
 	c.to[server]++
 	c.sent = append(c.sent, policy.Outcome{ID: id, Server: server, Status: policy.OK, Over: true, SpentS: 0.02})
 }
-func (c *sendCounter) Refuse(string, float64)   {}
-func (c *sendCounter) Fail(string)              {}
-func (c *sendCounter) Cancel(string, int)       {}
-func (c *sendCounter) SetTimer(uint64, float64) {}
-func (c *sendCounter) Probe(string)             {}
-func (c *sendCounter) Tell(int, []byte)         {}
-func (c *sendCounter) Log(string)               {}
+func (c *sendCounter) Refuse(string, float64, policy.Reason) {}
+func (c *sendCounter) Fail(string, policy.Reason)            {}
+func (c *sendCounter) Cancel(string, int)                    {}
+func (c *sendCounter) SetTimer(uint64, float64)              {}
+func (c *sendCounter) Probe(string)                          {}
+func (c *sendCounter) Tell(int, []byte)                      {}
+func (c *sendCounter) Log(string)                            {}
 
 // sendsToJoining plays a backend that joins at 10, is heard of at 10.5 and starts anew at 40, and counts what it gets
 // in the first 2 s of its age, when it is warm, and in the first 2 s after its restart.
--- a/internal/ingress/trace.go
+++ b/internal/ingress/trace.go
@@ -36,7 +36,7 @@
 		return
 	}
 	class := in.class(a.req)
-	in.log.Debug("sent", "id", a.req.ID, "try", a.number, "class", class.Name, "effect", effectNames[class.Effect],
+	in.log.Debug("sent", "id", a.req.ID, "try", a.number, "kind", string(a.kind), "class", class.Name, "effect", effectNames[class.Effect],
 		"scope", scopeNames[class.KeyScope], "ttl", class.KeyTTLS, "backend", to.ID, "zone", to.Zone, "cell", to.Cell,
 		"started", float64(to.StartedMS)/1000, "read", a.req.cameAt, "from", from, "at", at,
 		"until", a.until,
@@ -52,13 +52,13 @@
 }
 
 // traceAnswer tells a request's final answer, by its first word.
-func (in *Ingress) traceAnswer(r *request, answer []byte) {
+func (in *Ingress) traceAnswer(r *request, answer []byte, why policy.Reason) {
 	if in.tracing() {
 		word := "value"
 		if len(answer) > 4 && answer[0] == '-' {
 			word = string(answer[1:4])
 		}
-		in.log.Debug("answered", "id", r.ID, "word", word, "at", in.clock.now())
+		in.log.Debug("answered", "id", r.ID, "word", word, "reason", string(why), "at", in.clock.now())
 	}
 }
 
--- a/internal/ingress/trace_test.go
+++ b/internal/ingress/trace_test.go
@@ -25,7 +25,7 @@
 // usual log.
 func TestTrace(t *testing.T) {
 	for level, want := range map[slog.Level]string{
-		slog.LevelDebug: `(?s)msg=taken id=a connection=1 came=\d.* at=\d.* deadline=\d.*\n.*msg=sent id=a try=0 class=look effect=safe scope=all ttl=0 backend=s0 .* read=\d.* at=\d.* left=false\n` +
+		slog.LevelDebug: `(?s)msg=taken id=a connection=1 came=\d.* at=\d.* deadline=\d.*\n.*msg=sent id=a try=0 kind=first class=look effect=safe scope=all ttl=0 backend=s0 .* read=\d.* at=\d.* left=false\n` +
 			`.*msg=ended id=a try=0 status=ok .*\n.*msg=answered id=a word=value `,
 		slog.LevelInfo: `^$`,
 	} {
--- a/internal/ingress/window_test.go
+++ b/internal/ingress/window_test.go
@@ -120,7 +120,7 @@
 		}
 		b = nil
 		get(t, r.mod.outcomes)
-		r.do(func() { r.in.fail(r.in.requests["a"]); writeWithinS *= 2 })
+		r.do(func() { r.in.fail(r.in.requests["a"], policy.NoTimeLeft); writeWithinS *= 2 })
 		c.line()
 	}
 	r.until("it is noted", func() bool { return used.conn.written.Load() })
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -115,7 +115,7 @@
 	if g.reqs[q.ID] != nil {
 		return
 	} else if cls == nil {
-		g.act.Fail(q.ID)
+		g.act.Fail(q.ID, UnknownClass)
 		return
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
@@ -154,7 +154,11 @@
 		if v != deny && r.cust != nil { // what came too late tells of no later try to come
 			defer func(at float64) { r.cust.refusedAt = at }(r.cust.refusedAt)
 		}
-		g.refuse(r)
+		why := NoTimeLeft
+		if v == deny {
+			why = QuotaReached
+		}
+		g.refuse(r, why)
 	case v == wait:
 		g.ask(r)
 	default:
@@ -185,7 +189,7 @@
 		g.work += r.cls.lat / demandTauS
 	}
 	if !g.mayRetry(r) {
-		g.refuse(r)
+		g.refuse(r, g.whyNoRetry(r))
 	} else if s := g.choose(r); s != nil {
 		g.send(r, s)
 	} else {
@@ -194,7 +198,7 @@
 }
 
 // refuse ends the request with the mildest answer that is true.
-func (g *Gateway) refuse(r *request) {
+func (g *Gateway) refuse(r *request, why Reason) {
 	if r.over {
 		return
 	}
@@ -203,9 +207,9 @@
 	}
 	may := r.ran != nil || r.out > 0
 	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
-		g.act.Fail(r.ID)
+		g.act.Fail(r.ID, why)
 	} else {
-		g.act.Refuse(r.ID, g.s.MaxRetryAfterS)
+		g.act.Refuse(r.ID, g.s.MaxRetryAfterS, why)
 	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; g.s.Cancel && !a.done && !a.called {
@@ -230,7 +234,7 @@
 			}
 			return s != nil
 		}
-		g.refuse(r)
+		g.refuse(r, NoServerInTime)
 		return true
 	})
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -155,6 +155,20 @@
 	Load   *Load
 }
 
+// Reason tells why a request gets a final answer that is no value.
+type Reason string
+
+// Why a request is refused, or fails where what it has begun can't be told.
+const (
+	QuotaReached   Reason = "quota_reached"     // its customer is over a quota or a ceiling
+	SlotsTaken     Reason = "slots_taken"       // too many attempts of its customer are out
+	NoTimeLeft     Reason = "no_time_left"      // no answer could come in time
+	NoServerInTime Reason = "no_server_in_time" // no server had room while that was so
+	AttemptsUsedUp Reason = "attempts_used_up"  // no further attempt is allowed
+	OwnerSilent    Reason = "owner_silent"      // the owner's word did not come in time
+	UnknownClass   Reason = "unknown_class"
+)
+
 // Broadcast as the addressee of Tell means every other gateway.
 const Broadcast = -1
 
@@ -163,8 +177,8 @@
 type Actions interface {
 	// Send starts the request's next attempt. Its last byte goes out within wholeS or never; 0: at any time.
 	Send(id, server string, timeoutS, wholeS float64)
-	Refuse(id string, retryInS float64) // final answer: trying again is harmless
-	Fail(id string)                     // final answer: promises nothing
+	Refuse(id string, retryInS float64, why Reason) // final answer: trying again is harmless
+	Fail(id string, why Reason)                     // final answer: promises nothing
 	Cancel(id string, attempt int)
 	SetTimer(token uint64, delayS float64)
 	Probe(server string)
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -124,13 +124,13 @@
 	end(s.busyTil+coldAnswerS, OK)
 }
 
-func (c *coldGate) Refuse(id string, _ float64) { c.f.comeAgain(id) }
-func (c *coldGate) Fail(id string)              { c.f.comeAgain(id) }
-func (c *coldGate) Cancel(string, int)          {}
-func (c *coldGate) SetTimer(uint64, float64)    {}
-func (c *coldGate) Probe(string)                {}
-func (c *coldGate) Tell(int, []byte)            {}
-func (c *coldGate) Log(string)                  {}
+func (c *coldGate) Refuse(id string, _ float64, _ Reason) { c.f.comeAgain(id) }
+func (c *coldGate) Fail(id string, _ Reason)              { c.f.comeAgain(id) }
+func (c *coldGate) Cancel(string, int)                    {}
+func (c *coldGate) SetTimer(uint64, float64)              {}
+func (c *coldGate) Probe(string)                          {}
+func (c *coldGate) Tell(int, []byte)                      {}
+func (c *coldGate) Log(string)                            {}
 
 type coldFleet struct {
 	coldCase
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -17,8 +17,10 @@
 	in.sent = append(in.sent, server)
 	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
 }
-func (in *ingress) Refuse(id string, retryInS float64)    { fmt.Printf("%s: refuse %s\n", in.name, id) }
-func (in *ingress) Fail(id string)                        { fmt.Printf("%s: fail %s\n", in.name, id) }
+func (in *ingress) Refuse(id string, _ float64, _ policy.Reason) {
+	fmt.Printf("%s: refuse %s\n", in.name, id)
+}
+func (in *ingress) Fail(id string, _ policy.Reason)       { fmt.Printf("%s: fail %s\n", in.name, id) }
 func (in *ingress) Cancel(id string, attempt int)         {}
 func (in *ingress) SetTimer(token uint64, delayS float64) {}
 func (in *ingress) Probe(server string)                   {}
--- a/policy/parallel.go
+++ b/policy/parallel.go
@@ -51,7 +51,7 @@
 	if n := len(c.parked) - 1; n >= r.plan.Parallel {
 		last := c.parked[n]
 		c.parked = c.parked[:n]
-		g.refuse(last)
+		g.refuse(last, SlotsTaken)
 	}
 }
 
@@ -64,7 +64,7 @@
 			if r.over || g.slotComes(r) {
 				return r.over
 			}
-			g.refuse(r)
+			g.refuse(r, SlotsTaken)
 			return true
 		})
 		for len(c.parked) > 0 && g.now >= c.parkTill && len(c.asks) == 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,10 +20,10 @@
 func (r *recorder) Send(id, s string, t, whole float64) {
 	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t, whole: whole})
 }
-func (r *recorder) Refuse(id string, x float64) {
+func (r *recorder) Refuse(id string, x float64, _ Reason) {
 	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
 }
-func (r *recorder) Fail(id string) { r.acts = append(r.acts, out{kind: "fail", id: id}) }
+func (r *recorder) Fail(id string, _ Reason) { r.acts = append(r.acts, out{kind: "fail", id: id}) }
 func (r *recorder) Cancel(id string, n int) {
 	r.acts = append(r.acts, out{kind: "cancel", id: id, attempt: n})
 }
--- a/policy/reports.go
+++ b/policy/reports.go
@@ -217,7 +217,7 @@
 		case g.slotComes(r):
 			g.park(r)
 		default:
-			g.refuse(r)
+			g.refuse(r, QuotaReached)
 		}
 	}
 }
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -134,6 +134,14 @@
 	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.windowEnd()
 }
 
+// whyNoRetry tells why mayRetry does not hold.
+func (g *Gateway) whyNoRetry(r *request) Reason {
+	if len(r.attempts) > 0 && g.now+r.cls.lat <= r.endAt() {
+		return AttemptsUsedUp
+	}
+	return NoTimeLeft
+}
+
 // windowEnd is when the servers that may have run a keyed request cease to drop its repeats.
 func (r *request) windowEnd() float64 { return r.ranAt + r.cls.KeyTTLS - lagS }
 
@@ -143,7 +151,7 @@
 	g.live = slices.DeleteFunc(g.live, func(r *request) bool { return r.over && r.out == 0 })
 	for _, r := range g.live {
 		if r.asking && g.now+tickS > min(r.endAt()-r.cls.lat, r.halfAt) {
-			g.refuse(r)
+			g.refuse(r, OwnerSilent)
 			continue
 		}
 		for i := range r.attempts {
