Cut off what is half written for a request that is over, and bear a log without a reader

Cause: a command of which the socket had taken a part was written on after its client had left or its request was answered otherwise, and began at the backend with its last byte, after the request's end. It is cut off now; the test (client leaves, refused) fails without. A process whose log's reader had gone was ended by SIGPIPE at its next line; TestALogThatNobodyReadsEndsNoProcess, on a real process, fails without the change.

--- a/cmd/reedlead/main.go
+++ b/cmd/reedlead/main.go
@@ -37,6 +37,7 @@
 	if path == "" {
 		return fmt.Errorf("EDGE_CONFIG names no configuration file")
 	}
+	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more must not end the process
 	hup := make(chan os.Signal, 1) // one that waits stands for all: the file is read when it is taken
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -414,3 +414,33 @@
 		}
 	}
 }
+
+// TestHalfWrittenAttemptsEndWithTheirRequest guards against an attempt that begins after its request's end, as the
+// rest of its command is written: it is cut off as its client leaves, or as the request is answered otherwise.
+func TestHalfWrittenAttemptsEndWithTheirRequest(t *testing.T) {
+	for name, end := range map[string]func(r *rig, c *wire){
+		"the client leaves": func(_ *rig, c *wire) { c.Close() },
+		"it is refused":     func(r *rig, _ *wire) { r.do(func() { r.in.Refuse("a", 1, policy.NoTimeLeft) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, r := smallSockets(t, nil)
+			c := r.client()
+			c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+			b, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.until("a part is written", func() bool {
+				a := r.in.requests["a"].attempts[0]
+				return a.conn != nil && !a.conn.written.Load()
+			})
+			end(r, c)
+			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent || !o.Over {
+				t.Errorf("got %+v", o)
+			}
+			if got := newWire(t, b).command(); got != nil {
+				t.Errorf("the backend got %d words", len(got))
+			}
+		})
+	}
+}
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -137,12 +137,28 @@
 // end notes that nothing more is owed. Attempts that are still out need neither timer nor bytes.
 func (in *Ingress) end(r *request) {
 	r.over = true
+	in.cutOffUnwritten(r)
 	in.stopTimer(r.timer)
 	in.input.give(r.size)
 	r.args = nil
 	in.forget(r)
 }
 
+// cutOffUnwritten ends the attempts of a request that is over whose commands are not wholly written: with its last
+// byte one would begin after the request's end.
+func (in *Ingress) cutOffUnwritten(r *request) {
+	for _, a := range r.attempts {
+		if a.done || a.conn == nil || a.conn.written.Load() {
+			continue
+		}
+		status := policy.Cancelled
+		if in.cutOff(a.conn) {
+			status = policy.NotSent
+		}
+		in.finishDeferred(a, status)
+	}
+}
+
 func (in *Ingress) forget(r *request) {
 	if r.over && r.out == 0 {
 		delete(in.requests, r.ID)
