--- a/cmd/reedlead/descriptors_test.go
+++ b/cmd/reedlead/descriptors_test.go
@@ -105,12 +105,7 @@
 				return strings.TrimPrefix(srv.URL, "http://")
 			}
 			first, second := agent("first"), agent("second")
-			free, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			listen := free.Addr().String()
-			free.Close()
+			listen := freeAddress(t)
 			path := filepath.Join(t.TempDir(), "config.json")
 			write := func(discovery string) {
 				text := fmt.Sprintf(`{"name":"n0","listen":"%s","discovery":"%s","seed":"1","limits":{"sockets":%d,"memory_mb":128},
--- a/cmd/reedlead/main_test.go
+++ b/cmd/reedlead/main_test.go
@@ -108,12 +108,7 @@
 		defer close(end)
 		agents = append(agents, strings.TrimPrefix(srv.URL, "http://"))
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := free.Addr().String()
-	free.Close()
+	listen := freeAddress(t)
 
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(discovery string) {
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+)
+
+// read parses the lines of a text.
+func read(t *testing.T, text string) (lines []*Line, err error) {
+	t.Helper()
+	for r := NewReader(strings.NewReader(text)); ; {
+		l := &Line{}
+		if err = r.Next(l); err != nil {
+			return lines, err
+		}
+		lines = append(lines, l)
+	}
+}
+
+// TestLines guards the form of a line: parts split by tabs, a field of text to the end, values longer than a buffer,
+// and a last line without its end.
+func TestLines(t *testing.T) {
+	long := strings.Repeat("x", 3<<20)
+	lines, err := read(t, "CLOCK\ttimeS=8.5\r\nENLIST\ti=3\tsettings={\"a\":\"b=c\td\"}\nEMIT\tmsg="+long+"\nYOUR_TURN")
+	if err != io.EOF || len(lines) != 4 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	if at, err := lines[0].Num("timeS"); lines[0].Name != "CLOCK" || at != 8.5 || err != nil {
+		t.Errorf("got %+v, %v", lines[0], err)
+	}
+	if text, err := lines[1].Text("settings"); text != "{\"a\":\"b=c\td\"}" || err != nil {
+		t.Errorf("got %q, %v", text, err)
+	}
+	if text, _ := lines[2].Text("msg"); text != long {
+		t.Errorf("a long value came as %d bytes", len(text))
+	}
+	if lines[3].Name != "YOUR_TURN" || lines[3].Has("i") {
+		t.Errorf("got %+v", lines[3])
+	}
+	for _, bad := range []string{"\ti=1\n", "CLOCK\ttimeS\n", "CLOCK\t=1\n"} {
+		if _, err := read(t, bad); err == nil || err == io.EOF {
+			t.Errorf("%q is read", bad)
+		}
+	}
+}
+
+// TestFields guards the types of fields: what is missing where it must come, and what can't be read.
+func TestFields(t *testing.T) {
+	lines, _ := read(t, "X\tn=7\tbig=9223372036854775808\tx=1.5\tyes=1\tno=0\tdata=00ff\tnone=-\tload=a:1,b:2.5\tbad=z\n")
+	l := lines[0]
+	if n, err := l.Int("n"); n != 7 || err != nil {
+		t.Errorf("Int: %d, %v", n, err)
+	}
+	if n, err := l.Uint("big"); n != 1<<63 || err != nil {
+		t.Errorf("Uint: %d, %v", n, err)
+	}
+	if x, err := l.OptNum("x"); x != 1.5 || err != nil {
+		t.Errorf("OptNum: %v, %v", x, err)
+	}
+	if yes, err := l.OptBool("yes"); !yes || err != nil {
+		t.Errorf("OptBool: %v, %v", yes, err)
+	}
+	if no, err := l.OptBool("no"); no || err != nil {
+		t.Errorf("OptBool: %v, %v", no, err)
+	}
+	if b, err := l.Hex("data"); !bytes.Equal(b, []byte{0, 255}) || err != nil {
+		t.Errorf("Hex: %x, %v", b, err)
+	}
+	if b, err := l.Hex("none"); len(b) != 0 || err != nil {
+		t.Errorf("Hex of nothing: %x, %v", b, err)
+	}
+	sum := 0.0
+	if has, err := l.Pairs("load", func(_ string, v float64) { sum += v }); !has || sum != 3.5 || err != nil {
+		t.Errorf("Pairs: %v, %v, %v", has, sum, err)
+	}
+	if n, err := l.OptInt("absent"); n != 0 || err != nil {
+		t.Errorf("an optional field that is absent: %d, %v", n, err)
+	}
+	for name, err := range map[string]error{
+		"Int of nothing": second(l.Int("absent")), "Uint of nothing": second(l.Uint("absent")),
+		"Num of nothing": second(l.Num("absent")), "Text of nothing": second(l.Text("absent")),
+		"Int": second(l.Int("bad")), "Uint": second(l.Uint("bad")), "Num": second(l.Num("bad")),
+		"OptBool": second(l.OptBool("bad")), "Hex": second(l.Hex("bad")),
+		"Pairs": second(l.Pairs("bad", func(string, float64) {})),
+	} {
+		if err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+// TestWriter guards what is written against what is read.
+func TestWriter(t *testing.T) {
+	var b bytes.Buffer
+	w := NewWriter(&b)
+	w.Begin("FORWARD", 3).ID("id", "q1").Str("backend", "10.0.0.1:80").Int("hop", 2).Num("withinS", 0.25).Hex("data", []byte{1, 255}).End()
+	if err := w.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := b.String(), "FORWARD\ti=3\tid=q1\tbackend=10.0.0.1:80\thop=2\twithinS=0.250000\tdata=01ff\nNEXT\n"; got != want {
+		t.Errorf("wrote %q, want %q", got, want)
+	}
+}
