Hold the process up and pipeline more in the seeded schedules of faults

Every second schedule stops the process for 0.25 s now and then, and a tenth of the batches have 40 commands.

--- a/cmd/reedlead/faults_test.go
+++ b/cmd/reedlead/faults_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 		"retryAfter":true,"maxRetryAfterS":0.5`
 	keyWindow     = 800 * time.Millisecond
 	goneSlack     = 100 * time.Millisecond // after its client has closed, in which an attempt may still begin
+	holdEvery     = 600 * time.Millisecond
+	holdFor       = 250 * time.Millisecond
 	faultBackends = 3
 	faultClients  = 24
 )
@@ -169,14 +172,14 @@
 }
 
 // request words a request of any class.
-func (c *faultClient) request() (faultRequest, string) {
+func (c *faultClient) request(bodyMax int) (faultRequest, string) {
 	c.asked++
 	q := faultRequest{id: fmt.Sprintf("q%d-%d", c.number, c.asked), class: []string{"look", "save", "bill"}[c.rng.IntN(3)],
 		deadline: time.Duration(150+c.rng.IntN(850)) * time.Millisecond}
 	fields := fmt.Sprintf("c=%s,t=basic,d=%d,k=%s,units=1,spread=1,first=0", q.class, q.deadline.Milliseconds(), q.id)
 	args := []string{"CALL.GET", "00000000b4d65521", q.id, fields}
 	if q.class != "look" {
-		args = append(args, strings.Repeat("b", c.rng.IntN(20_000)))
+		args = append(args, strings.Repeat("b", c.rng.IntN(bodyMax)))
 		args[0] = "CALL.POST"
 	}
 	var b strings.Builder
@@ -201,8 +204,14 @@
 	for range 1 + c.rng.IntN(4) {
 		var batch []faultRequest
 		var text strings.Builder
-		for range 1 + c.rng.IntN(6) {
-			q, command := c.request()
+		commands, bodyMax := 1+c.rng.IntN(6), 20_000
+		if c.rng.Float64() < 0.1 {
+			// More than may be open at once, but no more than the socket holds: else the end of the connection
+			// would not come to the ingress before the rest of them is read.
+			commands, bodyMax = 40, 500
+		}
+		for range commands {
+			q, command := c.request(bodyMax)
 			sent += len(command)
 			q.end = sent
 			batch = append(batch, q)
@@ -328,10 +337,10 @@
 }
 
 // playFaults plays one schedule of faults against one process.
-func playFaults(t *testing.T, seed uint64) *faultWorld {
+func playFaults(t *testing.T, seed uint64, holds bool) *faultWorld {
 	w := &faultWorld{attempts: map[string][]attemptRun{}, answered: map[string]int{}}
 	stop := make(chan struct{})
-	defer close(stop)
+	t.Cleanup(func() { close(stop) })
 	go w.watchPace(stop)
 	rough := faultproxy.Schedule{Reset: 0.08, HalfClose: 0.04, Split: 0.3, Delay: 0.3, DelayMost: 10 * time.Millisecond,
 		HoldUp: 0.02, HoldFor: 150 * time.Millisecond, EndBytes: 20_000}
@@ -345,6 +354,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(proxy.Close)
+	if holds {
+		go holdUp(p, stop)
+	}
 	var clients sync.WaitGroup
 	until := time.Now().Add(*faultsFor)
 	for i := range faultClients {
@@ -365,6 +377,20 @@
 	return w
 }
 
+// holdUp has the process stand still now and then.
+func holdUp(p *program, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(holdEvery):
+		}
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(holdFor)
+		p.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
 // startFaultBackend starts a backend behind a proxy, and returns where the proxy listens.
 func startFaultBackend(t *testing.T, w *faultWorld, schedule faultproxy.Schedule, seed uint64) string {
 	t.Helper()
@@ -403,9 +429,9 @@
 // -faults.for, -faults.runs and -faults.seed play more of them.
 func TestRequestsUnderFaults(t *testing.T) {
 	for i := range *faultsRuns {
-		seed := *faultsFrom + uint64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			w := playFaults(t, seed)
+		seed, holds := *faultsFrom+uint64(i), i%2 == 1
+		t.Run(fmt.Sprintf("seed %d, holds %t", seed, holds), func(t *testing.T) {
+			w := playFaults(t, seed, holds)
 			t.Logf("%v, %d requests sent on, behind by %v at most", w.answered, len(w.attempts), time.Duration(w.late.Load()))
 			if w.answered["value"] == 0 {
 				t.Error("nothing was served")
