Move the bounds of RESP2 commands and replies to a package of their own

internal/resp has a clean border: bytes in, lengths or errors out. Buffers and their budget stay with the connections. Discovery, the pools and clients share the loop's state and stay in internal/ingress.

--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -72,7 +73,7 @@
 func TestACommandThatTakesTooLongIsCutOff(t *testing.T) {
 	l, r := smallSockets(t, func(r *rig) { r.in.backends.writeSlack = 0.01 })
 	c := r.client()
-	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", resp.MaxValue))
 	b, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"reedlead/internal/resp"
 )
 
 const (
@@ -401,9 +403,9 @@
 func (c *client) commands(in *Ingress, at float64, came arrival, words *vocabulary) (used int, ok bool) {
 	var space [8][]byte
 	for used < len(c.buf.b) {
-		args, size, bad := parseCommand(c.buf.b[used:], space[:0])
+		args, size, bad := resp.ParseCommand(c.buf.b[used:], space[:0])
 		if bad != nil {
-			c.refuse(in, at, syntaxError{bad})
+			c.refuse(in, at, resp.SyntaxError{Cause: bad})
 			return 0, false
 		}
 		if size == 0 {
--- a/internal/ingress/fuzz_test.go
+++ b/internal/ingress/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -21,7 +22,7 @@
 		if len(b) == 0 {
 			return
 		}
-		args, n, err := parseCommand(b, nil)
+		args, n, err := resp.ParseCommand(b, nil)
 		if n < 0 || n > len(b) || n > 0 && err != nil {
 			t.Fatalf("%d of %d bytes, %v", n, len(b), err)
 		}
@@ -37,7 +38,7 @@
 				t.Fatalf("argument %d is %q, the codec reads %q", i, args[i], codec[i])
 			}
 		}
-		if _, m, err := parseCommand(b[:n-1], nil); m != 0 || err != nil {
+		if _, m, err := resp.ParseCommand(b[:n-1], nil); m != 0 || err != nil {
 			t.Fatalf("less its last byte it gives %d, %v", m, err)
 		}
 	})
@@ -66,7 +67,7 @@
 		}
 		c.keep()
 		sent := c.appendTo(nil, c.waitS)
-		again, n, err := parseCommand(sent, nil)
+		again, n, err := resp.ParseCommand(sent, nil)
 		if n != len(sent) || err != nil || len(again) != len(args) {
 			t.Fatalf("sent %q: %d, %v", sent, n, err)
 		}
@@ -85,7 +86,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		n, err := frame(b)
+		n, err := resp.Frame(b)
 		if n < 0 || n > len(b) || n > 0 && err != nil {
 			t.Fatalf("%d of %d bytes, %v", n, len(b), err)
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"reedlead/internal/resp"
 	"reedlead/internal/settings"
 	"reedlead/policy"
 )
@@ -530,7 +531,7 @@
 		"-ERR Protocol error: invalid number of ":     "*99999999\r\n",
 		"-ERR Protocol error: value over 64 KiB":      "*5\r\n$65537\r\n",
 		"-ERR Protocol error: value and length":       "*1\r\n$1\r\nabc\r\n",
-		"-ERR Protocol error: line too long":          "*" + strings.Repeat("1", 2*maxLine),
+		"-ERR Protocol error: line too long":          "*" + strings.Repeat("1", 2*resp.MaxLine),
 		"-ERR Protocol error: malformed line":         "*1\n",
 		"-ERR empty command":                          "*0\r\n",
 		"-ERR unknown command \"NOVEL\"":              command("NOVEL"),
@@ -928,7 +929,7 @@
 // which the socket took only a part has not run, and one that is written in the end is served.
 func TestCommandThatTheSocketTakesInParts(t *testing.T) {
 	l, r := smallSockets(t, nil)
-	body := strings.Repeat("x", maxValue)
+	body := strings.Repeat("x", resp.MaxValue)
 	post := func(id string) *wire {
 		c := r.client()
 		c.send("CALL.POST", customer, id, "c=bill,t=basic,d=600000,units=2,spread=2,first=1", body)
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -425,7 +426,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, r := smallSockets(t, nil)
 			c := r.client()
-			c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+			c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", resp.MaxValue))
 			b, err := l.Accept()
 			if err != nil {
 				t.Fatal(err)
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -416,9 +417,9 @@
 			break // what follows can't be told apart
 		}
 		buf.grew(n)
-		size, bad := frame(buf.b)
-		if bad == nil && size == 0 && len(buf.b) > maxFrame {
-			bad = errOversized
+		size, bad := resp.Frame(buf.b)
+		if bad == nil && size == 0 && len(buf.b) > resp.MaxFrame {
+			bad = resp.ErrOversized
 		}
 		if bad != nil {
 			c.spoilt(in, at, buf.b, bad)
--- a/internal/ingress/pool_test.go
+++ b/internal/ingress/pool_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -262,7 +263,7 @@
 		"-BUSY cpu_share=0.5\r\n":                                     {policy.Full, 0.5},
 		"-BUSYNESS\r\n":                                               {policy.Error, -1},
 	} {
-		if n, err := frame([]byte(reply)); n != len(reply) || err != nil {
+		if n, err := resp.Frame([]byte(reply)); n != len(reply) || err != nil {
 			t.Fatalf("%q: frame gives %d, %v", reply, n, err)
 		}
 		res := parseReply([]byte(reply))
@@ -287,7 +288,7 @@
 		}
 	})
 	c := r.client()
-	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", resp.MaxValue))
 	b, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ingress/window_test.go
+++ b/internal/ingress/window_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -74,7 +75,7 @@
 	})
 	c := r.client()
 	c.send("CALL.POST", customer, "a", "c=hold,t=basic,k=5c0f,d=600000,units=2,spread=2,first=1",
-		strings.Repeat("x", maxValue))
+		strings.Repeat("x", resp.MaxValue))
 	b, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +98,7 @@
 	c := r.client()
 	post := func(id string) {
 		c.send("CALL.POST", customer, id, "c=hold,t=basic,k=5c0f,d=600000,units=2,spread=2,first=1",
-			strings.Repeat("x", maxValue))
+			strings.Repeat("x", resp.MaxValue))
 	}
 	var b *wire
 	var used *attempt
--- a/internal/ingress/resp.go
+++ b/internal/resp/resp.go
@@ -1,41 +1,42 @@
-package ingress
+// Package resp finds the bounds of commands and replies of RESP2 in what has been read of a connection, and tells
+// what can't be one before all of it has come. Values are bounded; the library that reads whole ones knows no bounds.
+package resp
 
 import (
 	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
-	"sync/atomic"
 )
 
-// Bounds on what is read from a socket. The codec itself knows none: it would wait for a value of
-// any announced size.
+// Bounds, in bytes, on what is read from a socket. The codec itself knows none: it would wait for a value of any
+// announced size.
 const (
-	maxValue    = 64 << 10
+	MaxValue    = 64 << 10 // of one bulk string
 	maxElements = 16
 	maxDepth    = 4
-	maxLine     = 1 << 10              // of text
+	MaxLine     = 1 << 10              // of text
 	maxHeader   = 16                   // of a type and a length
-	maxFrame    = maxValue + 8*maxLine // one value, and what stands beside it
-	readSize    = 4 << 10
+	MaxFrame    = MaxValue + 8*MaxLine // one value, and what stands beside it
 )
 
 var (
-	errOversized = errors.New("value over 64 KiB")
+	// ErrOversized is a value, or a whole command or reply, beyond its bound.
+	ErrOversized = errors.New("value over 64 KiB")
+
 	errLength    = errors.New("invalid length")
 	errCount     = errors.New("invalid number of elements")
 	errMalformed = errors.New("malformed line")
 	errLongLine  = errors.New("line too long")
-	errNoRoom    = errors.New("no room for more input")
 	errValueEnd  = errors.New("value and length differ")
 )
 
-// syntaxError is what makes the rest of a client's connection unreadable, in the words that its client gets.
-type syntaxError struct{ cause error }
+// SyntaxError is what makes the rest of a client's connection unreadable, in the words that its client gets.
+type SyntaxError struct{ Cause error }
 
-func (e syntaxError) Error() string { return "Protocol error: " + e.cause.Error() }
+func (e SyntaxError) Error() string { return "Protocol error: " + e.Cause.Error() }
 
-func (e syntaxError) Unwrap() error { return e.cause }
+func (e SyntaxError) Unwrap() error { return e.Cause }
 
 // header reads the line that b starts with: a type and a length, in digits alone. n is what it takes,
 // 0 if it is not whole yet. A length of -1 is told by null.
@@ -71,10 +72,10 @@
 	return length, end + 1, null, nil
 }
 
-// parseCommand splits the command that b, which is not empty, starts with: an array of bulk strings.
+// ParseCommand splits the command that b, which is not empty, starts with: an array of bulk strings.
 // It returns its length, 0 if it is not whole yet, or what is wrong with it. Lengths are checked before
 // the bytes that they announce have come. The arguments lie in b and are appended to args.
-func parseCommand(b []byte, args [][]byte) ([][]byte, int, error) {
+func ParseCommand(b []byte, args [][]byte) ([][]byte, int, error) {
 	if b[0] != '*' {
 		return nil, 0, fmt.Errorf("expected '*', got %q", b[0])
 	}
@@ -98,8 +99,8 @@
 			return nil, 0, err
 		case null:
 			return nil, 0, errLength
-		case size > maxValue || n+m+size > maxFrame:
-			return nil, 0, errOversized
+		case size > MaxValue || n+m+size > MaxFrame:
+			return nil, 0, ErrOversized
 		case m == 0 || len(b) < n+m+size+2:
 			return nil, 0, nil
 		case b[n+m+size] != '\r' || b[n+m+size+1] != '\n':
@@ -112,9 +113,9 @@
 	return args, n, nil
 }
 
-// frame returns the length of the reply that b starts with, 0 if it is not whole yet, or what is wrong
+// Frame returns the length of the reply that b starts with, 0 if it is not whole yet, or what is wrong
 // with it.
-func frame(b []byte) (int, error) { return frameAt(b, 0) }
+func Frame(b []byte) (int, error) { return frameAt(b, 0) }
 
 func frameAt(b []byte, depth int) (int, error) {
 	if len(b) == 0 {
@@ -128,8 +129,8 @@
 		switch {
 		case err != nil || n == 0:
 			return 0, err
-		case size > maxValue:
-			return 0, errOversized
+		case size > MaxValue:
+			return 0, ErrOversized
 		case null:
 			return n, nil
 		case len(b) < n+size+2:
@@ -160,11 +161,11 @@
 	return 0, fmt.Errorf("unknown type %q", b[0]) // takeReport at once: its line may never end
 }
 
-// frameLine is frame for a line of text or a number.
+// frameLine is Frame for a line of text or a number.
 func frameLine(b []byte) (int, error) {
-	end := bytes.IndexByte(b[:min(len(b), maxLine+1)], '\n')
+	end := bytes.IndexByte(b[:min(len(b), MaxLine+1)], '\n')
 	switch {
-	case end < 0 && len(b) > maxLine:
+	case end < 0 && len(b) > MaxLine:
 		return 0, errLongLine
 	case end < 0:
 		return 0, nil
@@ -178,57 +179,3 @@
 	}
 	return end + 1, nil
 }
-
-// budget bounds the bytes that readers and the loop hold for others, beyond a first buffer a connection.
-type budget struct{ left atomic.Int64 }
-
-func (b *budget) take(n int) bool {
-	if b.left.Add(-int64(n)) < 0 {
-		b.left.Add(int64(n))
-		return false
-	}
-	return true
-}
-
-func (b *budget) give(n int) { b.left.Add(int64(n)) }
-
-// buffer gathers what is read from one connection. The first readSize bytes are its own, what it
-// grows beyond them comes from the budget.
-type buffer struct {
-	b      []byte
-	budget *budget
-	taken  int
-}
-
-// room returns the space to read into, nil if there is none left for it.
-func (f *buffer) room() []byte {
-	if cap(f.b)-len(f.b) < readSize/2 {
-		size := max(readSize, 2*len(f.b)+readSize/2)
-		if more := size - readSize - f.taken; more > 0 {
-			if !f.budget.take(more) {
-				return nil
-			}
-			f.taken += more
-		}
-		f.b = append(make([]byte, 0, size), f.b...)
-	}
-	return f.b[len(f.b):cap(f.b)]
-}
-
-func (f *buffer) grew(n int) { f.b = f.b[:len(f.b)+n] }
-
-// drop forgets the first n bytes, and lets go of a buffer that one large value blew up.
-func (f *buffer) drop(n int) {
-	rest := f.b[n:]
-	if len(rest) == 0 && cap(f.b) > readSize {
-		f.free()
-		return
-	}
-	f.b = f.b[:copy(f.b, rest)]
-}
-
-// free lets go of all.
-func (f *buffer) free() {
-	f.budget.give(f.taken)
-	f.b, f.taken = nil, 0
-}
