Read on while a connection's commands wait, so that its end is seen behind much unread

Cause: a reader that waits for one of 32 open commands read nothing, so once unread bytes filled the socket the end of the connection behind them never came to this machine, and open requests could be sent on for a client that had left. TestAClientThatLeavesBehindMuchIsSeen fails without it.

--- a/cmd/reedlead/faults_test.go
+++ b/cmd/reedlead/faults_test.go
@@ -34,7 +34,7 @@
 	keyWindow     = 800 * time.Millisecond
 	goneSlack     = 100 * time.Millisecond // after its client has closed, in which an attempt may still begin
 	holdEvery     = 600 * time.Millisecond
-	holdFor       = 250 * time.Millisecond
+	holdFor       = 140 * time.Millisecond // under 0.15 s, which a hold-up between the clock and the write may last
 	faultBackends = 3
 	faultClients  = 24
 )
@@ -206,9 +206,9 @@
 		var text strings.Builder
 		commands, bodyMax := 1+c.rng.IntN(6), 20_000
 		if c.rng.Float64() < 0.1 {
-			// More than may be open at once, but no more than the socket holds: else the end of the connection
-			// would not come to the ingress before the rest of them is read.
-			commands, bodyMax = 40, 500
+			// More than may be open at once, but no more than the ingress reads on: else the end of the connection
+			// would not come to it before the rest of them is read.
+			commands, bodyMax = 48, 16_000
 		}
 		for range commands {
 			q, command := c.request(bodyMax)
--- a/internal/ingress/arrival.go
+++ b/internal/ingress/arrival.go
@@ -64,7 +64,43 @@
 
 // arrivals follows one connection's reads. It belongs to the connection's reader.
 type arrivals struct {
-	emptyAt float64 // when the socket was last known to be empty
+	emptyAt float64       // when the socket was last known to be empty
+	marks   []arrivalMark // of the bytes that wait to be parsed, oldest first
+}
+
+// arrivalMark tells when the bytes of one read had come.
+type arrivalMark struct {
+	end int // of them, in the buffer
+	arrival
+}
+
+// mark notes when the bytes had come that the last read added, up to an end.
+func (a *arrivals) mark(end int, came arrival) {
+	if n := len(a.marks); n > 0 && a.marks[n-1].end == end || end == 0 {
+		return // it added none
+	}
+	a.marks = append(a.marks, arrivalMark{end, came})
+}
+
+// of is when a command had come whole that ends at a place of the buffer.
+func (a *arrivals) of(end int) float64 {
+	for _, m := range a.marks {
+		if end <= m.end {
+			return m.arrival.of(end == m.end)
+		}
+	}
+	return a.emptyAt
+}
+
+// drop forgets so many bytes.
+func (a *arrivals) drop(n int) {
+	kept := a.marks[:0]
+	for _, m := range a.marks {
+		if m.end -= n; m.end > 0 {
+			kept = append(kept, m)
+		}
+	}
+	a.marks = kept
 }
 
 // took tells when the bytes of a read had come, which began and ended at given times and filled its room or not.
--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -136,3 +136,20 @@
 		}
 	}
 }
+
+// TestArrivalsByPlace guards the arrival of commands whose bytes came in several reads.
+func TestArrivalsByPlace(t *testing.T) {
+	var a arrivals
+	a.mark(10, arrival{1, 2})
+	a.mark(10, arrival{9, 9}) // a read that added nothing
+	a.mark(30, arrival{3, 4})
+	for end, want := range map[int]float64{5: 1, 10: 2, 20: 3, 30: 4} {
+		if got := a.of(end); got != want {
+			t.Errorf("at %d: %v, want %v", end, got, want)
+		}
+	}
+	a.drop(12)
+	if got := a.of(18); got != 4 || len(a.marks) != 1 {
+		t.Errorf("after a part was parsed: %v, %d marks", got, len(a.marks))
+	}
+}
--- a/internal/ingress/buffer.go
+++ b/internal/ingress/buffer.go
@@ -11,7 +11,10 @@
 var errNoRoom = errors.New("no room for more input")
 
 // budget bounds the bytes that readers and the loop hold for others, beyond a first buffer a connection.
-type budget struct{ left atomic.Int64 }
+type budget struct {
+	left          atomic.Int64
+	readAheadLeft int64 // what readers that only read ahead leave of it; never changes
+}
 
 func (b *budget) take(n int) bool {
 	if b.left.Add(-int64(n)) < 0 {
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -312,7 +312,7 @@
 		}
 		number++
 		c := &client{number: number, conn: steadyConn{conn, in.calls.wait}, raw: raw, permits: make(chan struct{}, maxPipelined), quit: make(chan struct{}),
-			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}, arrivals: arrivals{in.pace.keptUpUntil(at)}}
+			resume: make(chan struct{}, 1), buf: buffer{budget: &in.input}, arrivals: arrivals{emptyAt: in.pace.keptUpUntil(at)}}
 		in.post(at, func() { in.addClient(c) })
 		go c.read(in, words)
 	}
@@ -402,6 +402,8 @@
 // connection has ended or is about to.
 func (c *client) commands(in *Ingress, at float64, came arrival, words *vocabulary) (used int, ok bool) {
 	var space [8][]byte
+	c.arrivals.mark(len(c.buf.b), came)
+	defer func() { c.arrivals.drop(used) }()
 	for used < len(c.buf.b) {
 		args, size, bad := resp.ParseCommand(c.buf.b[used:], space[:0])
 		if bad != nil {
@@ -411,16 +413,10 @@
 		if size == 0 {
 			break
 		}
-		select {
-		case c.permits <- struct{}{}:
-		default:
-			select {
-			case c.permits <- struct{}{}:
-			case <-c.quit:
-				return 0, false
-			}
+		if !c.takePermit(in) {
+			return 0, false
 		}
-		if bad := c.command(in, at, came.of(used+size == len(c.buf.b)), words, args); bad != nil {
+		if bad := c.command(in, at, c.arrivals.of(used+size), words, args); bad != nil {
 			if c.errors++; c.errors == maxClientErrors {
 				<-c.permits // the last answer takes none
 				c.refuse(in, at, bad)
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -445,3 +445,33 @@
 		})
 	}
 }
+
+// TestAClientThatLeavesBehindMuchIsSeen guards against a client whose end does not come, as commands that are unread
+// behind open ones fill its socket.
+func TestAClientThatLeavesBehindMuchIsSeen(t *testing.T) {
+	r := start(t, testConfig(noDiscovery), nil)
+	_, left := r.base()
+	c := r.client()
+	var all strings.Builder
+	for i := range maxPipelined + 1000 { // some times what a socket takes at first
+		all.WriteString(command(look(fmt.Sprintf("r%0100d", i))...))
+	}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		io.WriteString(c, all.String())
+		c.Conn.(*net.TCPConn).CloseWrite()
+	}()
+	for range maxPipelined {
+		get(t, r.mod.requests)
+	}
+	get(t, written)
+	for range maxPipelined {
+		get(t, r.mod.gone)
+	}
+	r.until("all is let go", func() bool { return len(r.in.requests) == 0 && r.in.clients.open() == 0 })
+	if len(r.mod.requests) != 0 {
+		t.Error("more of its commands were taken")
+	}
+	r.until("the budget is given back", func() bool { return r.in.input.left.Load() == left })
+}
