--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -59,13 +59,7 @@
 		passes(r.in, r.in.now+0.02)
 		r.in.Send("a", "s0", 0, 0)
 	})
-	if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
-		t.Errorf("got %+v", o)
-	}
-	r.do(func() { r.in.takeList(targets{Full: true}) })
-	if got := b.command(); got != nil {
-		t.Errorf("the backend got %q", got)
-	}
+	r.wantNotSent(b)
 }
 
 // TestACommandThatTakesTooLongIsCutOff guards against a command whose last byte comes so late that what it tells of
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -925,6 +925,28 @@
 	})
 }
 
+// wantNotSent holds that the next attempt to end was not sent, and that its backend got nothing: its connection is
+// closed with the pool.
+func (r *rig) wantNotSent(b *wire) {
+	r.t.Helper()
+	if o := get(r.t, r.mod.outcomes); o.Status != policy.NotSent {
+		r.t.Errorf("got %+v", o)
+	}
+	r.do(func() { r.in.takeList(targets{Full: true}) })
+	if got := b.command(); got != nil {
+		r.t.Errorf("the backend got %q", got)
+	}
+}
+
+// untilPartIsWritten waits until the socket has taken a part of the command of a request's first attempt.
+func (r *rig) untilPartIsWritten(id string) {
+	r.t.Helper()
+	r.until("a part is written", func() bool {
+		a := r.in.requests[id].attempts[0]
+		return a.conn != nil && !a.conn.written.Load()
+	})
+}
+
 // Guards the edge between the two ways in which a broken connection may end an attempt: a command of
 // which the socket took only a part has not run, and one that is written in the end is served.
 func TestCommandThatTheSocketTakesInParts(t *testing.T) {
@@ -941,10 +963,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.until("a part is written", func() bool {
-		a := r.in.requests["a"].attempts[0]
-		return a.conn != nil && !a.conn.written.Load()
-	})
+	r.untilPartIsWritten("a")
 	b.Close()
 	if o := get(t, r.mod.outcomes); o.Status != policy.ConnectFailed {
 		t.Errorf("a command that was cut off: %+v", o)
--- a/internal/ingress/order_test.go
+++ b/internal/ingress/order_test.go
@@ -431,10 +431,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			r.until("a part is written", func() bool {
-				a := r.in.requests["a"].attempts[0]
-				return a.conn != nil && !a.conn.written.Load()
-			})
+			r.untilPartIsWritten("a")
 			end(r, c)
 			if o := get(t, r.mod.outcomes); o.Status != policy.NotSent || !o.Over {
 				t.Errorf("got %+v", o)
--- a/internal/ingress/window_test.go
+++ b/internal/ingress/window_test.go
@@ -58,13 +58,7 @@
 		passes(r.in, r.in.now+0.02)
 		r.in.Send("a", "s0", 0, 0.01)
 	})
-	if o := get(t, r.mod.outcomes); o.Status != policy.NotSent {
-		t.Errorf("got %+v", o)
-	}
-	r.do(func() { r.in.takeList(targets{Full: true}) })
-	if got := b.command(); got != nil {
-		t.Errorf("the backend got %q", got)
-	}
+	r.wantNotSent(b)
 }
 
 // Guards against the same where a backend reads slowly: the last byte does not follow once the window is
