--- a/cmd/eiderspread/program_test.go
+++ b/cmd/reedlead/program_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -27,6 +28,7 @@
 	discovery string // by default an address that refuses
 	backends  []string
 	classes   string // profiles as JSON; by default one class that may be repeated
+	limits    string // as JSON, without braces
 	sockets   int
 }
 
@@ -55,14 +57,17 @@
 	if c.classes == "" {
 		c.classes = defaultClasses
 	}
+	if c.limits == "" {
+		c.limits = `"dialTimeoutS":1,"connIdleS":15,"maxAttempts":3`
+	}
 	if c.sockets == 0 {
 		c.sockets = 1024
 	}
 	return fmt.Sprintf(`{"name":"n0","listen":"%s","discovery":"%s","seed":"1",
 		"limits":{"sockets":%d,"memory_mb":128},"known":{"version":1,"servers":[%s]},
-		"settings":{"balancers":1,"limits":{"dialTimeoutS":1,"connIdleS":15,"maxAttempts":3},"profiles":%s,
+		"settings":{"balancers":1,"limits":{%s},"profiles":%s,
 		"packages":[{"name":"basic","unitsPerS":1000000,"peakUnits":1000000,"pays":1}]}}`,
-		listen, c.discovery, c.sockets, strings.Join(known, ","), c.classes)
+		listen, c.discovery, c.sockets, strings.Join(known, ","), c.limits, c.classes)
 }
 
 // startProgram starts the program and waits until it answers. It is killed with the end of the test, and its
@@ -102,6 +107,26 @@
 	return p
 }
 
+// stop has the process stand still, and waits until all of it does. SIGCONT ends that.
+func (p *program) stop() {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		p.t.Fatal(err)
+	}
+	tasks := fmt.Sprintf("/proc/%d/task", p.cmd.Process.Pid)
+	eventually(p.t, "the process stands still", func() bool {
+		threads, err := os.ReadDir(tasks)
+		for _, thread := range threads {
+			text, _ := os.ReadFile(filepath.Join(tasks, thread.Name(), "stat"))
+			_, state, _ := strings.Cut(string(text), ") ")
+			if !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return err == nil && len(threads) > 0
+	})
+}
+
 // dial connects as a client.
 func (p *program) dial() *net.TCPConn {
 	p.t.Helper()
