--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"reedlead/internal/resp"
 	"reedlead/policy"
 )
 
@@ -72,7 +73,7 @@
 func TestACommandThatTakesTooLongIsCutOff(t *testing.T) {
 	l, r := smallSockets(t, func(r *rig) { r.in.backends.writeSlack = 0.01 })
 	c := r.client()
-	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", maxValue))
+	c.send("CALL.POST", customer, "a", "c=bill,t=basic,d=600000,units=2,spread=2,first=1", strings.Repeat("x", resp.MaxValue))
 	b, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -135,3 +136,20 @@
 		}
 	}
 }
+
+// TestArrivalsByPlace guards the arrival of commands whose bytes came in several reads.
+func TestArrivalsByPlace(t *testing.T) {
+	var a arrivals
+	a.mark(10, arrival{1, 2})
+	a.mark(10, arrival{9, 9}) // a read that added nothing
+	a.mark(30, arrival{3, 4})
+	for end, want := range map[int]float64{5: 1, 10: 2, 20: 3, 30: 4} {
+		if got := a.of(end); got != want {
+			t.Errorf("at %d: %v, want %v", end, got, want)
+		}
+	}
+	a.drop(12)
+	if got := a.of(18); got != 4 || len(a.marks) != 1 {
+		t.Errorf("after a part was parsed: %v, %d marks", got, len(a.marks))
+	}
+}
