--- a/cmd/reedlead/arrival_test.go
+++ b/cmd/reedlead/arrival_test.go
@@ -30,21 +30,9 @@
 
 func hang(t *testing.T) *hangingBackend {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := listen(t)
 	b := &hangingBackend{addr: l.Addr().String()}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.take(conn)
-		}
-	}()
+	go serveEach(l, b.take)
 	return b
 }
 
--- a/cmd/reedlead/descriptors_test.go
+++ b/cmd/reedlead/descriptors_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -119,9 +118,7 @@
 			}
 			write(first)
 			var log output
-			program := exec.Command(os.Args[0])
-			program.Env = append(os.Environ(), asProgram+"=72", "EDGE_CONFIG="+path)
-			program.Stderr = &log
+			program := programCommand(path, 72, &log)
 			if err := program.Start(); err != nil {
 				t.Fatal(err)
 			}
@@ -203,38 +200,25 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(patience / 4))
 	asks++
-	id, f := fmt.Sprintf("q%07d", asks), "c=look,t=basic,d=20000,units=1,spread=1,first=0"
-	fmt.Fprintf(c, "*4\r\n$8\r\nCALL.GET\r\n$16\r\n00000000b4d65521\r\n$8\r\n%s\r\n$%d\r\n%s\r\n", id, len(f), f)
+	io.WriteString(c, call(fmt.Sprintf("q%07d", asks), 20_000))
 	line, _ := bufio.NewReader(c).ReadString('\n')
 	return line
 }
 
 // serveBackend answers each read.
 func serveBackend(t *testing.T) (addr string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	l := listen(t)
+	go serveEach(l, func(c net.Conn) {
+		defer c.Close()
+		for r := bufio.NewReader(c); ; {
+			line, err := r.ReadString('\n')
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for r := bufio.NewReader(c); ; {
-					line, err := r.ReadString('\n')
-					if err != nil {
-						return
-					}
-					if strings.HasPrefix(line, "c=") { // the last argument of a read
-						io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
-					}
-				}
-			}()
+			if strings.HasPrefix(line, "c=") { // the last argument of a read
+				io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+			}
 		}
-	}()
+	})
 	return l.Addr().String()
 }
--- a/cmd/reedlead/faults_test.go
+++ b/cmd/reedlead/faults_test.go
@@ -394,11 +394,7 @@
 // startFaultBackend starts a backend behind a proxy, and returns where the proxy listens.
 func startFaultBackend(t *testing.T, w *faultWorld, schedule faultproxy.Schedule, seed uint64) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := listen(t)
 	proxy, err := faultproxy.New(l.Addr().String(), schedule, seed)
 	if err != nil {
 		t.Fatal(err)
@@ -411,15 +407,7 @@
 		defer mu.Unlock()
 		return rng.Float64()
 	}}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(conn)
-		}
-	}()
+	go serveEach(l, b.serve)
 	return proxy.Addr()
 }
 
--- a/cmd/reedlead/log_test.go
+++ b/cmd/reedlead/log_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 )
@@ -23,9 +22,8 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1024", "EDGE_CONFIG="+path, "EDGE_LOG=DEBUG")
-	cmd.Stderr = write
+	cmd := programCommand(path, 1024, write)
+	cmd.Env = append(cmd.Env, "EDGE_LOG=DEBUG")
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/reedlead/program_test.go
+++ b/cmd/reedlead/program_test.go
@@ -36,13 +36,40 @@
 
 // freeAddress is an address on loopback that nothing listens on.
 func freeAddress(t *testing.T) string {
+	t.Helper()
+	l := listen(t)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// listen listens on loopback to the end of the test.
+func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// serveEach serves each connection that comes, until the listener ends.
+func serveEach(l net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
+// programCommand is the command that runs the program with a configuration, so many descriptors and a log.
+func programCommand(config string, descriptors int, log io.Writer) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d", asProgram, descriptors), "EDGE_CONFIG="+config)
+	cmd.Stderr = log
+	return cmd
 }
 
 // text is the configuration file.
@@ -79,9 +106,8 @@
 	if err := os.WriteFile(path, []byte(c.text(p.listen)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), asProgram+"=1024", "EDGE_CONFIG="+path, "EDGE_LOG=DEBUG")
-	p.cmd.Stderr = p.log
+	p.cmd = programCommand(path, 1024, p.log)
+	p.cmd.Env = append(p.cmd.Env, "EDGE_LOG=DEBUG")
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -160,21 +186,9 @@
 // serveValues is a backend that answers each read with a value of a size.
 func serveValues(t *testing.T, size int) (addr string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := listen(t)
 	value := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", size, strings.Repeat("v", size))
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerReads(conn, value)
-		}
-	}()
+	go serveEach(l, func(conn net.Conn) { answerReads(conn, value) })
 	return l.Addr().String()
 }
 
--- a/internal/ingress/arrival.go
+++ b/internal/ingress/arrival.go
@@ -40,8 +40,8 @@
 	return now
 }
 
-// stoodStill notes a standstill that has ended.
-func (p *pace) stoodStill(from, until float64) {
+// noteStandstill notes one that has ended.
+func (p *pace) noteStandstill(from, until float64) {
 	if from > p.heldUntil.get()+standstillMemory { // else it is the same one still
 		p.heldFrom.set(from)
 	}
--- a/internal/ingress/arrival_test.go
+++ b/internal/ingress/arrival_test.go
@@ -91,7 +91,7 @@
 	if got := p.keptUpUntil(10.6); got != 10 {
 		t.Errorf("before the loop ran: %v", got)
 	}
-	p.stoodStill(10, 10.6)
+	p.noteStandstill(10, 10.6)
 	p.dueAt.set(10.62)
 	if got := p.keptUpUntil(10.61); got != 10 {
 		t.Errorf("right after: %v", got)
--- a/internal/ingress/backends.go
+++ b/internal/ingress/backends.go
@@ -34,7 +34,7 @@
 	hedge    attemptKind = "hedge" // beside one that is out
 )
 
-// kindOf is the kind of a request\'s next attempt.
+// kindOf is the kind of a request's next attempt.
 func kindOf(r *request) attemptKind {
 	switch {
 	case len(r.attempts) == 0:
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -28,7 +28,6 @@
 	answerInFlightS    = 1.0
 	clientIdleTimeoutS = 10.0 // seconds for which a connection may stand idle
 	minClients         = 8
-	acceptRetry        = 5 * time.Millisecond
 	lateClientGrace    = 100 * time.Millisecond // for a command on a connection that came last
 	listenerQuiet      = 10 * time.Millisecond  // without a new connection, after which the listener closes
 	acceptSlack        = 8                      // connections accepted that the loop has not come to
@@ -307,7 +306,7 @@
 				in.warn("accept failed", "error", err)
 				in.makeRoomFor(err)
 			})
-			in.calls.wait(acceptRetry) // out of descriptors: others must end first
+			in.calls.wait(scarceRetry) // out of descriptors: others must end first
 			continue
 		}
 		number++
@@ -436,7 +435,6 @@
 // closing on unread bytes would reset the connection and might take the answer with it.
 func (c *client) refuse(in *Ingress, at float64, bad error) {
 	answer := errorOf(bad)
-	c.buf.free()
 	in.post(at, func() { in.answerAtOnce(c, answer, true) })
 	gone := c.dropInput(lingerTimeout)
 	in.post(in.clock.now(), func() {
--- a/internal/ingress/descriptors.go
+++ b/internal/ingress/descriptors.go
@@ -32,7 +32,7 @@
 // makeRoomFor tells whether a call failed for want of descriptors. Idle connections make room then: those to
 // backends first, which cost a new one at most, and clients that are owed nothing, those idle for longest first.
 func (in *Ingress) makeRoomFor(err error) bool {
-	if !OutOfDescriptors(err) {
+	if !outOfDescriptors(err) {
 		return false
 	}
 	s := &in.clients
--- a/internal/ingress/loop.go
+++ b/internal/ingress/loop.go
@@ -337,7 +337,7 @@
 func (in *Ingress) fire() {
 	now := in.clock.now()
 	if in.stoodStill(now) {
-		in.pace.stoodStill(in.timers[0].at, now)
+		in.pace.noteStandstill(in.timers[0].at, now)
 		for n := range readersTurns {
 			if in.turn(); len(in.events) == 0 && n > 0 {
 				break
--- a/internal/ingress/system_calls.go
+++ b/internal/ingress/system_calls.go
@@ -80,13 +80,13 @@
 	return false
 }
 
-// OutOfDescriptors tells whether a call failed since this process, or the machine, has none left.
-func OutOfDescriptors(err error) bool { return isAny(err, syscall.EMFILE, syscall.ENFILE) }
+// outOfDescriptors tells whether a call failed since this process, or the machine, has none left.
+func outOfDescriptors(err error) bool { return isAny(err, syscall.EMFILE, syscall.ENFILE) }
 
 // scarce tells whether a call failed for want of something that this machine may have again in a moment. A
 // connection on which a read or a write has failed so is as good as before.
 func scarce(err error) bool {
-	return OutOfDescriptors(err) || isAny(err, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR)
+	return outOfDescriptors(err) || isAny(err, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR)
 }
 
 // Transient tells whether a call that the process needs for its start may succeed when it is made again.
