--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # The builds of deploy/balancer.toml and of review/build.sh come first.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] && [ -x ../../bin/reedlead ] || { echo "not built"; exit 2; }
-exec ../bin/standin gone "$PWD"
+exec ../bin/standin budget "$PWD"
--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -17,7 +17,7 @@
 // request on each.
 func playCrowd(p *play) int {
 	const (
-		silentMost  = 300
+		silentMost  = 400
 		silentEvery = time.Millisecond
 		silentStay  = 3 * time.Second
 		waveEvery   = 4 * time.Second
--- a/review/standin/lib.go
+++ b/review/standin/lib.go
@@ -218,8 +218,8 @@
 	<-g.ended
 }
 
-// residentMB returns the resident memory of the process.
-func (g *gateway) residentMB() float64 {
+// anonymousMB returns the resident memory of the process.
+func (g *gateway) anonymousMB() float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
 	if err != nil {
 		return 0
