--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -99,6 +99,7 @@
 		return "not written"
 	}
 	written := time.Now()
+	p.line("request %s: its last byte is written", id)
 	_ = c.conn.SetReadDeadline(written.Add(deadline + answerSlack))
 	a, err := c.readAnswer()
 	took := time.Since(written).Seconds()
