Bound the customers that a gateway keeps by its memory

All that was open was lost.

Cause: customerTable.find adds a customer for each request before anything is decided, evictIdle keeps it for 10 s at least, and nothing bounds the table. Ruled out: input buffers (4.1 MB, within their budget), the queue of events, replies and the log (under 1 MB).

Change: the table holds as many customers as fit into 0.15 of memory_mb. At the limit a new customer takes the place of one whose eviction loses no usage: it has no request, no expected reply, no count that an owner may still hold, and either full windows or no attempt at all. Where none of eight is such, the new one is rejected with Retry-After. An owner without room still replies to reports, and scheduled reports of evicted customers leave their batches. Why this works: what is rejected has used nothing, so it can go at once, and what has used something stays until its windows are full, so no quota is handed out twice.

On the way: a customer whose request waits for an endpoint counted as idle.

--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -73,6 +73,8 @@
 	d.lists <- list
 }
 
+func (d *fakeDecider) CustomerCount() int { return 0 }
+
 func (d *fakeDecider) HandleTimer(policy.Seconds, uint64) {}
 
 func (d *fakeDecider) HandlePeerMessage(_ policy.Seconds, from int, data []byte) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,8 +24,11 @@
 	// unwritten replies may use, in addition to one buffer of readbuf.InitialSize per connection. Garbage that has not
 	// been collected takes about as much again, and the program itself needs several MB.
 	inputMemoryShare = 0.2
-	defaultMemoryMB  = 192 // used if the configuration sets none
-	sweepInterval    = time.Second
+	// customerMemoryShare is the share of the process memory that the state of customers may use.
+	customerMemoryShare = 0.15
+	defaultMemoryMB     = 192  // used if the configuration sets none
+	minCustomers        = 1024 // lower bound of the number of customers, for a process with little memory
+	sweepInterval       = time.Second
 	// readyTimeout is the time from the start until the gateway reports that it is ready even without an endpoint in
 	// service. Nine in ten gateways have to be ready within 10 s.
 	readyTimeout = 2 * time.Second
@@ -72,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	gateway, err := policy.New(cfg.Settings.Settings, cfg.Seed, p.loop.Now(), p)
+	gateway, err := policy.New(moduleSettings(cfg), cfg.Seed, p.loop.Now(), p)
 	if err != nil {
 		p.close()
 		return fmt.Errorf("settings: %w", err)
@@ -81,6 +84,19 @@
 	return nil
 }
 
+// processMemory returns the memory limit of the process in bytes.
+func processMemory(cfg config.Config) int64 {
+	return int64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)) << 20
+}
+
+// moduleSettings returns the settings of the decision module, with the number of customers that fit into
+// customerMemoryShare.
+func moduleSettings(cfg config.Config) policy.Settings {
+	s := cfg.Settings.Settings
+	s.MaxCustomers = max(minCustomers, int(float64(processMemory(cfg))*customerMemoryShare)/policy.CustomerMemory)
+	return s
+}
+
 // open creates a proxy and its sockets. Nothing is read from them yet.
 func open(ctx context.Context, cfg config.Config, log *slog.Logger, calls *netcalls.Calls) (*Proxy, error) {
 	p := &Proxy{
@@ -92,7 +108,7 @@
 	p.loop = eventloop.New(p.clock, p.logPanic)
 	p.startTimes.Sample(p.loop.Now(), p.wallClock())
 	p.readyAt = p.loop.Now() + readyTimeout.Seconds()
-	input := int64(float64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)<<20) * inputMemoryShare)
+	input := int64(float64(processMemory(cfg)) * inputMemoryShare)
 	p.inputBudget = readbuf.NewBudget(input, int64(float64(input)*readAheadReserveShare))
 	if err := p.openSockets(ctx); err != nil {
 		return nil, err
@@ -166,11 +182,20 @@
 	p.loop.Run(p.drain.complete, ctx.Done(), p.drain.start)
 }
 
-// sweep runs every sweepInterval. It samples the wall clock and runs the periodic checks of the endpoints, the clients
-// and the descriptors.
+// sweep runs every sweepInterval. It samples the wall clock, runs the periodic checks of the endpoints, the clients and
+// the descriptors, and logs the resource usage.
 func (p *Proxy) sweep() {
 	p.startTimes.Sample(p.clock.Now(), p.wallClock())
 	p.endpoints.sweep()
 	p.clients.sweep()
 	p.descriptors.check()
+	p.logUsage()
+}
+
+// logUsage logs the sizes of what takes up memory, at debug level.
+func (p *Proxy) logUsage() {
+	p.log.Debug(
+		"resource usage", "customers", p.decider.CustomerCount(), "requests", len(p.requests.byID),
+		"clients", p.clients.open(), "input_budget_left", p.inputBudget.Available(), "queued_events", p.loop.QueuedEvents(),
+	)
 }
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -19,6 +19,7 @@
 	HandleTimer(now policy.Seconds, token uint64)
 	HandlePeerMessage(now policy.Seconds, from int, data []byte)
 	HandleHealthCheck(now policy.Seconds, result policy.HealthCheckResult)
+	CustomerCount() int
 }
 
 // services holds the values that the components of a proxy share. The event loop owns warnings and decider. Any
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -40,12 +40,16 @@
 func (a *requestAdmitter) handle(incoming Request, requestClass *class) {
 	r := a.newRequest(incoming, requestClass)
 	a.requests.add(r)
+	if r.plan != nil && r.customer == nil {
+		a.replies.reject(r, TooManyCustomers)
+		return
+	}
 	a.admitOrReject(r)
 }
 
-// newRequest creates the state of a request that has just arrived. It finds or adds the request's customer
-// and adds the units to the customer's demand. It also passes the time until the deadline to the client-retry
-// detector of the request's class.
+// newRequest creates the state of a request that has just arrived. It finds or adds the request's customer,
+// unless the table has no room for it, and adds the units to the customer's demand. It also passes the time
+// until the deadline to the client-retry detector of the request's class.
 func (a *requestAdmitter) newRequest(incoming Request, requestClass *class) *request {
 	now := a.clock.now
 	remaining := incoming.Deadline - now
@@ -54,6 +58,9 @@
 	retryDetected := requestClass.retryDetector.observe(remaining)
 	if r.plan != nil {
 		r.customer = a.quota.customers.find(incoming)
+	}
+	if r.customer != nil {
+		r.customer.openRequests++
 		r.customer.demand.record(incoming.Units, now)
 		retryDetected = retryDetected && r.customer.likelyRetrying(now, requestClass.Timeout)
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -120,6 +120,9 @@
 	MaxRequestUnits int
 	// ActualUnitsInReply is set if Request.Units is an estimate and the reply reports the actual units.
 	ActualUnitsInReply bool
+	// MaxCustomers is the number of customers whose usage this gateway keeps at a time; 0 means no limit. While
+	// it is reached, requests of further customers are rejected. A customer takes up to CustomerMemory bytes.
+	MaxCustomers int
 	// PeerMessageRate is the number of peer messages per second that a gateway can receive; 0 means no limit.
 	PeerMessageRate float64
 
@@ -283,6 +286,7 @@
 	DeadlineTooClose        Reason = "deadline_too_close"        // too late to send an attempt
 	NoEndpointInTime        Reason = "no_endpoint_in_time"       // no endpoint had free capacity in time
 	AttemptsExhausted       Reason = "attempts_exhausted"        // no further attempt is allowed
+	TooManyCustomers        Reason = "too_many_customers"        // a new customer, and no room for it
 	OwnerUnreachable        Reason = "owner_unreachable"         // no grant from the owner arrived in time
 	UnknownClass            Reason = "unknown_class"
 )
--- a/policy/customer.go
+++ b/policy/customer.go
@@ -62,6 +62,11 @@
 	// admitted before slotRetryAt.
 	slotWaiters []*request
 	slotRetryAt Seconds
+
+	openRequests int  // requests that have no final reply yet
+	attempted    bool // an attempt was made at this gateway since the customer was added
+
+	previous, next *customer // in customerTable.queue
 }
 
 // gateways returns the number of gateways that receive the customer's requests, or 1 if the number is
@@ -93,11 +98,15 @@
 	return c.isCeilingFull(tolerance, now)
 }
 
-// isIdle reports whether the customer has no attempts in flight, no requests that wait for a grant or a
-// concurrency slot, no scheduled report and no expected reply.
+// isIdle reports whether the customer has no requests, no scheduled report and no expected reply.
 func (c *customer) isIdle() bool {
-	noRequests := c.inFlight == 0 && len(c.awaitingOwner) == 0 && len(c.slotWaiters) == 0
-	return noRequests && !c.report.scheduled && !c.report.watched
+	return !c.hasRequests() && !c.report.scheduled && !c.report.watched
+}
+
+// hasRequests reports whether the customer has attempts in flight, requests without a final reply, or
+// requests that are queued for a grant or a concurrency slot.
+func (c *customer) hasRequests() bool {
+	return c.openRequests > 0 || c.inFlight > 0 || len(c.awaitingOwner) > 0 || len(c.slotWaiters) > 0
 }
 
 // customerTable holds the plans and the customers that this gateway knows.
@@ -107,10 +116,19 @@
 	owners             ownerFinder
 	startedAt          Seconds
 	byKey              map[uint32]*customer
+	queue              customerQueue
+	limit              int // number of customers that the table can hold; 0 means no limit
+	reports            reportScheduler
 	plans              map[string]*plan
 	plansByIndex       []*plan
 }
 
+// reportScheduler holds the reports that are scheduled but not sent.
+type reportScheduler interface {
+	// unschedule removes the scheduled report on a customer.
+	unschedule(c *customer)
+}
+
 // ownerFinder finds the owner of a customer. The owner is the gateway that counts the customer's usage
 // against the whole quota.
 type ownerFinder interface {
@@ -125,7 +143,7 @@
 func newCustomerTable(s Settings, clock *eventClock, owners ownerFinder) customerTable {
 	t := customerTable{
 		clock: clock, self: s.Self, gatewayCount: s.GatewayCount, owners: owners, startedAt: clock.now,
-		byKey: map[uint32]*customer{}, plans: map[string]*plan{},
+		byKey: map[uint32]*customer{}, limit: s.MaxCustomers, plans: map[string]*plan{},
 	}
 	for i, p := range s.Plans {
 		added := &plan{Plan: p, index: i, maxRequestUnits: float64(s.MaxRequestUnits)}
@@ -135,25 +153,37 @@
 	return t
 }
 
-// find returns the customer of a request, and adds it to the table if it is new. It also records that the
-// customer is used now and, if they are not known yet, the customer's gateways.
+// find returns the customer of a request, and adds it to the table if it is new. It returns nil if the
+// customer is new and the table has no room for it. It also records that the customer is used now and, if
+// they are not known yet, the customer's gateways.
 func (t *customerTable) find(r Request) *customer {
 	hash := hashName(r.Customer)
 	key := uint32(hash >> 32)
 	c := t.byKey[key]
 	if c == nil {
-		c = t.add(key, t.plans[r.Plan])
+		if c = t.add(key, t.plans[r.Plan]); c == nil {
+			return nil
+		}
 	}
 	if c.gatewayCount == 0 {
 		t.setGateways(c, hash, r.FirstGateway, r.GatewayCount)
 	}
-	c.usedAt = t.clock.now
+	t.use(c)
 	return c
 }
 
+// use records that a customer is used now.
+func (t *customerTable) use(c *customer) {
+	c.usedAt = t.clock.now
+	t.queue.moveToLast(c)
+}
+
 // add creates a customer with a full quota window. Its ceiling share and pool are treated as empty at the
-// start of this gateway and refilled since then.
+// start of this gateway and refilled since then. add returns nil if the table has no room.
 func (t *customerTable) add(key uint32, p *plan) *customer {
+	if !t.makeRoom() {
+		return nil
+	}
 	now := t.clock.now
 	c := &customer{
 		key: key, plan: p, primaryOwner: t.self, isPrimaryOwner: true, usedAt: now, rejectedAt: math.Inf(-1),
@@ -161,6 +191,7 @@
 		ceilingShare: tokenBucket{updatedAt: t.startedAt}, ceilingPool: tokenBucket{updatedAt: t.startedAt},
 	}
 	t.byKey[key] = c
+	t.queue.pushLast(c)
 	return c
 }
 
@@ -179,9 +210,9 @@
 // also evicts expired members from the ledgers of the other customers.
 func (t *customerTable) evictIdle() {
 	now := t.clock.now
-	for key, c := range t.byKey {
+	for _, c := range t.byKey {
 		if now-c.usedAt > customerExpiry && c.isIdle() && c.allWindowsFull(now) {
-			delete(t.byKey, key)
+			t.evict(c)
 		} else if c.ledger != nil {
 			c.ledger.evictMembers(now)
 		}
--- a/policy/final_reply.go
+++ b/policy/final_reply.go
@@ -37,6 +37,9 @@
 // finish marks a request as done and removes it if no attempt is in flight. It refunds the units of a
 // request that was never sent.
 func (f *finalReplier) finish(r *request) {
+	if !r.done && r.customer != nil {
+		r.customer.openRequests--
+	}
 	r.done = true
 	if r.charged && len(r.attempts) == 0 {
 		r.charged = false
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -123,6 +123,7 @@
 		customers: newCustomerTable(settings, g.clock, g.owners),
 		reporter:  newUsageReporter(settings, g.clock, &g.protocol, g.owners),
 	}
+	g.quota.customers.reports = &g.quota.reporter
 }
 
 // initRequestSide creates the components that process requests. They depend on the other two sides.
@@ -154,6 +155,9 @@
 	g.quota.requests = requestActions{g.dispatcher, g.replies}
 }
 
+// CustomerCount returns the number of customers whose usage this gateway keeps.
+func (g *Gateway) CustomerCount() int { return len(g.quota.customers.byKey) }
+
 // HandleRequest admits, queues or rejects a client's request. It fails a request of an unknown class, and
 // ignores a request with the ID of an open one.
 func (g *Gateway) HandleRequest(now Seconds, incoming Request) {
--- a/policy/grants.go
+++ b/policy/grants.go
@@ -2,6 +2,9 @@
 
 import "slices"
 
+// deniedReportBackoff is the time during which a member must not ask again after denyReport.
+const deniedReportBackoff Seconds = 0.5
+
 // awaitGrant queues a request for a grant from its customer's owner. If no other request of the customer
 // waits, it calls askForGrant. Otherwise, the customer's next report asks for the units of the request.
 func (q *quotaController) awaitGrant(r *request) {
@@ -69,16 +72,37 @@
 	q.protocol.send(from, replies)
 }
 
-// replyToReport applies a member's report and returns the reply. It adds the customer if it is new.
+// replyToReport applies a member's report and returns the reply. It adds the customer if it is new, and
+// denies the report if the table has no room for it.
 func (q *quotaController) replyToReport(report memberReport) usageRecord {
 	c := q.customers.byKey[report.key]
 	if c == nil {
 		c = q.customers.add(report.key, q.customers.plansByIndex[report.planIndex])
 	}
-	c.usedAt = report.receivedAt
+	if c == nil {
+		return q.denyReport(report)
+	}
+	q.customers.use(c)
 	return c.applyUsageReport(report, q.protocol.format, q.protocol.queryBackoff)
 }
 
+// denyReport returns the reply to a report on a customer for which the table has no room. Without a reply,
+// the member would consider this gateway unreachable. The reply acknowledges no units, so that the member
+// goes on to count them. It states that no units are left and that the demand at other gateways is the
+// highest that a record can hold. The member then admits next to nothing from its view of the quota, and
+// asks again.
+func (q *quotaController) denyReport(report memberReport) usageRecord {
+	reply := usageRecord{
+		key: report.key, planIndex: report.planIndex, fromOwner: true, remainingKnown: true,
+		total: report.total - report.unacknowledged, demand: q.protocol.format.maxDemand(),
+	}
+	if report.wantedUnits > 0 {
+		reply.wantedUnits = report.wantedUnits
+		reply.backoff = deniedReportBackoff
+	}
+	return reply
+}
+
 // applyReply handles the owner's reply to a report: it updates the view of the quota and decides on the
 // requests whose units the report asked for. It schedules another report if granted units are unused, or if
 // no expected reply covers the requests that still wait.
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -48,8 +48,11 @@
 }
 
 // ofKind returns the actions of a kind for a request, or all actions of the kind if id is "".
-func (r *recorder) ofKind(kind, id string) (list []action) {
-	for _, a := range r.actions {
+func (r *recorder) ofKind(kind, id string) []action { return r.ofKindFrom(0, kind, id) }
+
+// ofKindFrom is like ofKind, for the actions from index first on.
+func (r *recorder) ofKindFrom(first int, kind, id string) (list []action) {
+	for _, a := range r.actions[first:] {
 		if a.kind == kind && (id == "" || a.id == id) {
 			list = append(list, a)
 		}
--- a/policy/message_codec.go
+++ b/policy/message_codec.go
@@ -186,6 +186,11 @@
 	return (f.unitsPerWireUnit-1)/stepsPerWireUnit + 1e-9
 }
 
+// maxDemand returns the highest demand that a record can hold, in units per second.
+func (f messageFormat) maxDemand() float64 {
+	return math.MaxUint16 * f.unitsPerWireUnit / stepsPerWireUnit
+}
+
 // encode returns the encoded form of a message that is sent at now.
 func (f messageFormat) encode(m message, now Seconds) []byte {
 	data := make([]byte, 0, maxMessageSize)
--- a/policy/request.go
+++ b/policy/request.go
@@ -14,7 +14,7 @@
 	Request
 	class    *class
 	plan     *plan     // nil if the settings have no such plan: no quota applies
-	customer *customer // nil if plan is nil
+	customer *customer // nil if plan is nil, or if the customer table has no room for the customer
 
 	// objectiveAt is the time until which a reply earns the full priority weight.
 	objectiveAt Seconds
--- a/policy/slot_queue.go
+++ b/policy/slot_queue.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// adjustInFlight adds change to the number of attempts in flight of the request's customer. With a
-// concurrency limit, it also schedules a report to the owner. The report is urgent if all slots were in use
-// and one becomes free, because requests at other gateways may wait for it.
+// adjustInFlight adds change to the number of attempts in flight of the request's customer, and records that
+// an attempt was made. With a concurrency limit, it also schedules a report to the owner. The report is urgent
+// if all slots were in use and one becomes free, because requests at other gateways may wait for it.
 func (q *quotaController) adjustInFlight(r *request, change int) {
 	c := r.customer
 	if c == nil {
@@ -49,6 +49,7 @@
 	}
 	atLimit := c.inFlight+c.quota.othersInFlight >= r.plan.MaxConcurrent
 	c.inFlight += change
+	c.attempted = true
 	if r.plan.MaxConcurrent > 0 {
 		q.reporter.scheduleReport(c, change < 0 && atLimit)
 	}
--- a/policy/usage_reports.go
+++ b/policy/usage_reports.go
@@ -31,6 +31,8 @@
 	// watched is set while the customer is in usageReporter.watched.
 	watched            bool
 	awaitingReplySince Seconds // 0: no reply is expected
+	sent               bool    // a report was sent since the customer was added
+	sentAt             Seconds // time of the last report, if sent is set
 	// askedCount is the number of waiting requests whose units the last report asked for. It is 0 once the
 	// reply has arrived or is overdue.
 	askedCount int
@@ -42,7 +44,10 @@
 // reportBatch holds the customers to report on in the next messages to a gateway.
 type reportBatch struct {
 	customers []*customer
-	pending   bool // the gateway is in usageReporter.pending
+	// skipped is the number of elements of customers whose report was unscheduled, or more. sendBatch skips
+	// them.
+	skipped int
+	pending bool // the gateway is in usageReporter.pending
 	// urgent is set if a request waits for a grant, or if a freed concurrency slot is to be reported.
 	urgent bool
 	sentAt Seconds // time of the last call of sendBatch
@@ -98,6 +103,19 @@
 	}
 }
 
+// unschedule implements reportScheduler. So that evicted customers do not take up memory, it compacts a batch
+// as soon as it has to skip more than half of its customers.
+func (u *usageReporter) unschedule(c *customer) {
+	batch := &u.batches[c.report.gateway]
+	c.report.scheduled = false
+	batch.skipped++
+	if 2*batch.skipped <= len(batch.customers) {
+		return
+	}
+	batch.skipped = 0
+	batch.customers = slices.DeleteFunc(batch.customers, func(c *customer) bool { return !c.report.scheduled })
+}
+
 // askForGrant schedules an urgent report for the first request that waits for a grant, and sends the batches
 // that are due. The wait for the reply starts even if the report is not sent yet.
 func (u *usageReporter) askForGrant(c *customer) {
@@ -146,6 +164,7 @@
 		}
 	}
 	batch.customers = slices.Delete(batch.customers, 0, taken)
+	batch.skipped = min(batch.skipped, len(batch.customers))
 	batch.sentAt, batch.urgent = u.clock.now, batch.urgent && len(batch.customers) > 0
 	u.protocol.send(gateway, m)
 }
@@ -175,6 +194,7 @@
 func (u *usageReporter) recordSent(c *customer) {
 	now := u.clock.now
 	c.usedAt = now
+	c.report.sent, c.report.sentAt = true, now
 	c.report.scheduled, c.report.askedCount = false, len(c.awaitingOwner)
 	if c.report.awaitingReplySince == 0 || c.report.askedCount > 0 {
 		c.report.awaitingReplySince = now
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -48,6 +48,8 @@
 		return outOfRange("Self", settings.Self, fmt.Sprintf("0 to %d", settings.GatewayCount-1))
 	case len(settings.Classes) == 0:
 		return missing("Classes", "no classes given")
+	case settings.MaxCustomers < 0:
+		return outOfRange("MaxCustomers", settings.MaxCustomers, "at least 0")
 	case len(settings.Plans) > maxPlans:
 		return outOfRange("Plans", len(settings.Plans), fmt.Sprintf("at most %d plans", maxPlans))
 	}
