Shed a command that finds no input memory instead of its connection

Cause: clientReader.readOnce handed readbuf.ErrExhausted to rejectInput, which is made for input that can't be parsed: its reply is the last of the connection, and discardRemaining drops what follows.

Change: the end of such a command can be found, so it is shed alone. Its bytes are discarded as they come, it gets -BUSY in its place, or the error that it would have got, and the connection goes on. A stopped client gets its error at the command timeout, not at once.

Test: TestLongCommandIsShedAlone failed before in 2 of 2 runs ("line 2 is -ERR no room for more input", the rest and a PING without a reply) and passes, with the others of its file, in 20 of 20.

TestClientsShareInputBudget asserted the fault: a valid part of a command beyond the budget had to end its connection. It now asserts as strictly that the command takes no memory, gets -BUSY once it is complete, and that the connection serves the next command.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -164,6 +164,15 @@
 	return request, nil
 }
 
+// ParseWithoutBody is like Parse for a request whose body is not known. args holds at least the name of the command; its
+// arguments from the body on are ignored.
+func (p *Parser) ParseWithoutBody(args [][]byte) (*Request, error) {
+	if bytes.EqualFold(args[argName], []byte(Post)) && len(args) >= argBody {
+		args = append(args[:argBody:argBody], nil)
+	}
+	return p.Parse(args)
+}
+
 // isCustomer reports whether b is the canonical spelling of a customer's number. Another spelling of the same number
 // would count as another customer with a quota of its own.
 func isCustomer(b []byte) bool {
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -45,6 +45,7 @@
 	pauseRequested  atomic.Bool          // the reader must pause when its read is interrupted
 	discardInput    atomic.Bool          // after its pause, the reader must discard further input and end
 	hasReceived     atomic.Bool          // at least one byte was read
+	shedding        atomic.Bool          // the reader discards a command that has not ended
 	writeProgressAt eventloop.AtomicTime // last progress of the writer, at first its start
 
 	reader clientReader
@@ -103,7 +104,7 @@
 		return
 	}
 	unused := c.set.status.isDraining() || !c.usedSinceCloseRequest
-	if unused && c.idle() && c.reader.buffer.Len() == 0 && netcalls.NoDataPending(c.rawConn) {
+	if unused && c.idle() && !c.reader.hasPartialCommand() && netcalls.NoDataPending(c.rawConn) {
 		c.closeGracefully()
 		return
 	}
--- a/internal/readbuf/readbuf.go
+++ b/internal/readbuf/readbuf.go
@@ -92,6 +92,16 @@
 	b.content = b.content[:copy(b.content, rest)]
 }
 
+// Shrink returns the reserved memory to the budget if the content fits into a buffer of InitialSize.
+func (b *Buffer) Shrink() {
+	if b.reserved == 0 || len(b.content) > InitialSize {
+		return
+	}
+	content := append(make([]byte, 0, InitialSize), b.content...)
+	b.Free()
+	b.content = content
+}
+
 // Free discards the content and returns the reserved memory to the budget.
 func (b *Buffer) Free() {
 	b.budget.Release(b.reserved)
