Have clients that stopped within a command give up memory for others

- A stopped client kept its part of the input budget until the command timeout, so long commands of others were shed for up to 2 s.
A reader without room now asks the event loop to have commands shed whose clients have sent nothing for 0.1 s, the longest silent first, and waits 0.05 s at most.
Their connections stay until the command timeout.
- Partial commands could take the whole budget from requests and replies.
They leave a quarter of it now, and requests an eighth to replies.
- An endpoint's reply without room counted as malformed, against the endpoint.
The attempt now ends as cancelled.
- The deadline in the past that interrupts a reader could have been taken for a command timeout, or have cut short the discarding of input.

--- a/internal/proxy/backend_reader.go
+++ b/internal/proxy/backend_reader.go
@@ -39,7 +39,7 @@
 // posts its end to the event loop.
 func (c *backendConn) read() {
 	shared := c.services
-	r := &backendReader{conn: c, services: shared, buffer: readbuf.NewBuffer(shared.inputBudget)}
+	r := &backendReader{conn: c, services: shared, buffer: readbuf.NewBuffer(shared.inputBudget, 0)}
 	defer r.buffer.Free()
 	more, cause := true, error(nil)
 	for more {
@@ -62,8 +62,8 @@
 	c, shared := r.conn, r.services
 	space := r.buffer.Space()
 	if space == nil {
-		r.handleMalformedReply(shared.clock.Now(), nil, readbuf.ErrExhausted)
-		return false, nil
+		r.handleShortage(shared.clock.Now())
+		return false, readbuf.ErrExhausted
 	}
 	n, err := c.conn.Read(space)
 	at := shared.clock.Now()
@@ -128,6 +128,17 @@
 	})
 }
 
+// handleShortage marks the connection as unusable, because there is no memory for the rest of the reply. On the event
+// loop, it ends the connection's attempt as Cancelled: the endpoint may have executed the command, and is not to blame.
+func (r *backendReader) handleShortage(at policy.Seconds) {
+	c, shared := r.conn, r.services
+	c.unusable.Store(true)
+	shared.loop.Post(at, func() {
+		shared.warn("reply dropped", "endpoint", c.endpoint.ID, "error", readbuf.ErrExhausted)
+		c.finishAttempt(attemptResult{status: policy.Cancelled}, at)
+	})
+}
+
 // replyReceived ends the connection's attempt with the received reply. A successful reply to another kind of command
 // counts as malformed. Event loop only.
 func (c *backendConn) replyReceived(received reply.Reply, at policy.Seconds) {
--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -46,6 +46,9 @@
 	discardInput    atomic.Bool          // after its pause, the reader must discard further input and end
 	hasReceived     atomic.Bool          // at least one byte was read
 	shedding        atomic.Bool          // the reader discards a command that has not ended
+	shedRequested   atomic.Bool          // the reader must shed its partial command
+	partialInput    atomic.Int64         // bytes of the input budget that the reader holds for a partial command
+	lastInputAt     eventloop.AtomicTime // clock time of the last read that returned bytes
 	writeProgressAt eventloop.AtomicTime // last progress of the writer, at first its start
 
 	reader clientReader
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -130,7 +130,7 @@
 		permits: make(chan struct{}, maxPipelined), done: make(chan struct{}), resume: make(chan struct{}, 1),
 	}
 	c.reader = clientReader{
-		client: c, services: shared, parser: l.parser, buffer: readbuf.NewBuffer(shared.inputBudget),
+		client: c, services: shared, parser: l.parser, buffer: readbuf.NewBuffer(shared.inputBudget, shared.inputBudget.Share(requestReserveShare)),
 		arrivals: arrivalTracker{lastEmptyAt: shared.loop.StallDetector().LastOnTime(at)},
 	}
 	return c
--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -50,7 +50,7 @@
 // connection, or after it has discarded input.
 //
 // A read deadline is set until the first command is complete, and while a later command is incomplete. To pause the
-// reader, the event loop sets a deadline in the past.
+// reader, or to have it shed its partial command, the event loop sets a deadline in the past.
 type clientReader struct {
 	client   *clientConn
 	services *services
@@ -85,25 +85,25 @@
 
 // readOnce waits for input and handles the complete commands. It reports whether to continue.
 func (r *clientReader) readOnce() (more bool) {
-	space := r.buffer.Space()
-	if space == nil {
-		r.startShedding()
-		space = r.buffer.Space() // a buffer of the initial size takes nothing from the budget
-	}
+	r.shedIfRequested()
+	space := r.space()
 	startedAt := r.services.clock.Now()
 	n, err := r.client.conn.Read(space)
 	at := r.services.clock.Now()
 	var arrived arrival
 	if n > 0 {
 		r.client.hasReceived.Store(true)
+		r.client.lastInputAt.Store(at)
 		arrived = r.arrivals.estimate(r.client.rawConn, r.services.loop.StallDetector(), startedAt, at, n == len(space))
 	}
 	r.buffer.Commit(n)
 	r.arrivals.record(r.buffer.Len(), arrived)
+	r.client.partialInput.Store(0) // what the buffer holds now may be complete commands
 	ended, ok := r.handleInput(at)
 	if !ok {
 		return false
 	}
+	r.publishPartialCommand()
 	if err != nil {
 		return r.handleError(at, err)
 	}
@@ -111,6 +111,19 @@
 	return true
 }
 
+// space returns space to read into. If there is no memory for it, space sheds the command at the start of the buffer.
+func (r *clientReader) space() []byte {
+	space := r.buffer.Space()
+	if space == nil {
+		space = r.awaitSpace()
+	}
+	if space == nil {
+		r.startShedding()
+		space = r.buffer.Space() // a buffer of the initial size takes nothing from the budget
+	}
+	return space
+}
+
 // hasPartialCommand reports whether the reader has read a part of a command.
 func (r *clientReader) hasPartialCommand() bool { return r.buffer.Len() > 0 || r.shed != nil }
 
@@ -142,8 +155,8 @@
 	switch {
 	case timedOut && r.client.pauseRequested.Load():
 		return r.pause(at)
-	case timedOut && r.deadlineActive && time.Now().Before(r.deadline):
-		r.setDeadline(r.deadline) // the deadline in the past belonged to a pause that has ended
+	case timedOut && (!r.deadlineActive || time.Now().Before(r.deadline)):
+		r.setDeadline(r.deadline) // the deadline in the past belonged to a pause that has ended, or to a request to shed
 		return true
 	case timedOut:
 		r.rejectInput(at, errNoCommand)
@@ -230,7 +243,7 @@
 		if err != nil {
 			return err
 		}
-		if !shared.inputBudget.Reserve(request.Size) {
+		if !shared.inputBudget.ReserveLeaving(request.Size, shared.inputBudget.Share(replyReserveShare)) {
 			shared.loop.Post(at, func() { requests.rejectLocally(c, request, inputMemoryExhausted) })
 			return nil
 		}
@@ -280,7 +293,16 @@
 // reports whether the input ended earlier, usually because the client has closed the connection or its sending side.
 func (r *clientReader) discardRemaining(timeout time.Duration) (closedByClient bool) {
 	r.buffer.Free()
-	_ = r.client.conn.SetReadDeadline(time.Now().Add(timeout)) // if it fails, so does the read
-	n, err := io.Copy(io.Discard, io.LimitReader(r.client.conn, maxDiscardedBytes))
-	return n < maxDiscardedBytes && !errors.Is(err, os.ErrDeadlineExceeded)
+	r.client.partialInput.Store(0)
+	end, left := time.Now().Add(timeout), int64(maxDiscardedBytes)
+	for {
+		_ = r.client.conn.SetReadDeadline(end) // if it fails, so does the read
+		n, err := io.Copy(io.Discard, io.LimitReader(r.client.conn, left))
+		left -= n
+		timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+		if timedOut && time.Now().Before(end) && !r.client.pauseRequested.Load() {
+			continue // the deadline in the past belonged to a request to shed
+		}
+		return left > 0 && !timedOut
+	}
 }
--- a/internal/proxy/client_set.go
+++ b/internal/proxy/client_set.go
@@ -55,9 +55,10 @@
 	// event loop removes it when it closes the connection.
 	connSlots chan struct{}
 
-	// These hold the constants of the same names. Tests change commandTimeout.
-	stallTimeout   time.Duration
-	commandTimeout time.Duration
+	// These hold the constants of the same names. Tests change commandTimeout and inputStallTimeout.
+	stallTimeout      time.Duration
+	commandTimeout    time.Duration
+	inputStallTimeout policy.Seconds
 }
 
 // init initializes the set, and derives its limits from the number of descriptors that the process may open.
@@ -70,6 +71,7 @@
 	s.overLimitAllowance = max(minOverLimit, int(float64(usable)*overLimitShare))
 	s.commandTimeout = commandTimeout
 	s.stallTimeout = stallTimeout
+	s.inputStallTimeout = inputStallTimeout
 	s.connSlots = make(chan struct{}, s.limit+s.overLimitAllowance+acceptAhead)
 }
 
--- a/internal/proxy/client_shedding.go
+++ b/internal/proxy/client_shedding.go
@@ -29,6 +29,7 @@
 	n, _, _ := r.shed.skipper.Skip(content) // the parser has found neither an end nor an error in these bytes
 	r.discard(n)
 	r.buffer.Shrink()
+	r.publishPartialCommand()
 }
 
 // parseIncomplete parses a request of which only the leading arguments are known.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,10 @@
 	// unwritten replies may use, in addition to one buffer of readbuf.InitialSize per connection. Garbage that has not
 	// been collected takes about as much again, and the program itself needs several MB.
 	inputMemoryShare = 0.2
+	// requestReserveShare is the share of the input budget that buffered input of clients leaves to requests and replies,
+	// and replyReserveShare is the share that requests leave to replies.
+	requestReserveShare = 0.25
+	replyReserveShare   = 0.125
 	// customerMemoryShare is the share of the process memory that the state of customers may use.
 	customerMemoryShare = 0.15
 	defaultMemoryMB     = 192  // used if the configuration sets none
--- a/internal/readbuf/readbuf_test.go
+++ b/internal/readbuf/readbuf_test.go
@@ -25,7 +25,7 @@
 func TestBufferGrowthIsBoundedByBudget(t *testing.T) {
 	const size = 4 * InitialSize
 	budget := NewBudget(size, size/2)
-	one, other := NewBuffer(budget), NewBuffer(budget)
+	one, other := NewBuffer(budget, 0), NewBuffer(budget, 0)
 	if !fill(&one, 'a', InitialSize/2) || budget.Available() != size {
 		t.Errorf("%d of %d bytes are available after a first read, want all", budget.Available(), size)
 	}
@@ -63,3 +63,20 @@
 		t.Errorf("%d bytes are available after a failed reservation of 41 bytes, want 40", budget.Available())
 	}
 }
+
+// TestReserveLeavesMemoryToOthers checks that a buffer does not take the part of the budget that it must leave to other
+// users, and that these can take it.
+func TestReserveLeavesMemoryToOthers(t *testing.T) {
+	budget := NewBudget(16*InitialSize, 0)
+	rest := budget.Share(0.25)
+	buffer := NewBuffer(budget, rest)
+	if fill(&buffer, 'a', 32*InitialSize) {
+		t.Error("a buffer grew beyond the budget")
+	}
+	if available := budget.Available(); available < rest {
+		t.Errorf("%d bytes are left by a buffer, want at least %d", available, rest)
+	}
+	if !budget.Reserve(int(rest)) {
+		t.Error("another user can't take what the buffer must leave")
+	}
+}
