Bound the values that wait for a slow command of their connection

Cause: a final reply is kept in its pipelineSlot until the replies before it are written, and requestTable.reply charges it to no budget.

Change: values that have to wait are charged to a reply budget, a tenth of memory_mb; one beyond it is replaced by "-ERR failed", as its request may have executed.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -163,7 +163,7 @@
 	c.logClosed(why, cause)
 	c.services.inputBudget.Release(c.reservedOutput)
 	c.reservedOutput = 0
-	c.pipeline.drop()
+	c.services.replyBudget.Release(c.pipeline.drop())
 	if c.closeRequested {
 		c.set.closing--
 	}
--- a/internal/proxy/client_pipeline.go
+++ b/internal/proxy/client_pipeline.go
@@ -8,6 +8,9 @@
 	request *request // nil if the proxy replies without the decision module
 	reply   []byte   // in RESP; nil until it is final
 	last    bool     // the connection is closed after this reply
+	// reserved is the number of bytes of the reply budget that are reserved for reply while it waits for the replies before
+	// it.
+	reserved int
 }
 
 // unwrittenReply is a reply that is queued but not completely written to the socket. Unless it is the connection's last
@@ -37,9 +40,15 @@
 // unfinished returns the number of commands whose reply is not completely written.
 func (p *replyPipeline) unfinished() int { return len(p.slots) + len(p.unwritten) }
 
+// isFirst reports whether no reply comes before that of a slot.
+func (p *replyPipeline) isFirst(slot *pipelineSlot) bool {
+	return len(p.slots) > 0 && p.slots[0] == slot
+}
+
 // queueDue moves final replies from the front of the pipeline to pending. It stops before the first open command, and
-// after the connection's last reply. It returns how many replies it moved and their total size in bytes.
-func (p *replyPipeline) queueDue() (replies, bytes int) {
+// after the connection's last reply. It returns how many replies it moved, their total size in bytes, and the number of
+// bytes that were reserved for them.
+func (p *replyPipeline) queueDue() (replies, bytes, reserved int) {
 	before := len(p.pending)
 	for replies < len(p.slots) && p.slots[replies].reply != nil && !p.lastReplyQueued {
 		slot := p.slots[replies]
@@ -50,11 +59,12 @@
 		p.pending = append(p.pending, slot.reply...)
 		p.unwritten = append(p.unwritten, unwritten)
 		p.lastReplyQueued = slot.last
+		reserved += slot.reserved
 		replies++
 	}
 	clear(p.slots[:replies])
 	p.slots = p.slots[:copy(p.slots, p.slots[replies:])]
-	return replies, len(p.pending) - before
+	return replies, len(p.pending) - before, reserved
 }
 
 // recordWritten records that n more bytes were written to the socket. It returns the number of permits to release: one
@@ -75,8 +85,15 @@
 	return permits
 }
 
-// drop discards the open commands, the final replies behind them and the pending replies.
-func (p *replyPipeline) drop() { p.slots, p.pending = nil, nil }
+// drop discards the open commands, the final replies behind them and the pending replies. It returns the number of bytes
+// that were reserved for the final replies.
+func (p *replyPipeline) drop() (reserved int) {
+	for _, slot := range p.slots {
+		reserved += slot.reserved
+	}
+	p.slots, p.pending = nil, nil
+	return reserved
+}
 
 // requestIDs returns the ids of the requests whose reply is not completely written, oldest first.
 func (p *replyPipeline) requestIDs() (ids []string) {
--- a/internal/proxy/client_pipeline_test.go
+++ b/internal/proxy/client_pipeline_test.go
@@ -21,16 +21,16 @@
 	p.add(first)
 	p.add(second)
 	second.reply = []byte("two")
-	if replies, size := p.queueDue(); replies != 0 || size != 0 {
+	if replies, size, reserved := p.queueDue(); replies != 0 || size != 0 || reserved != 0 {
 		t.Errorf("behind an open command: %d replies of %d bytes are due, want none", replies, size)
 	}
 	first.reply = []byte("one")
-	if replies, size := p.queueDue(); replies != 2 || size != 6 || string(p.pending) != "onetwo" {
+	if replies, size, _ := p.queueDue(); replies != 2 || size != 6 || string(p.pending) != "onetwo" {
 		t.Errorf("%d replies of %d bytes are due, pending %q, want 2 of 6 bytes and onetwo", replies, size, p.pending)
 	}
 	p.add(&pipelineSlot{reply: []byte("end"), last: true})
 	p.add(&pipelineSlot{reply: []byte("behind it")})
-	if replies, _ := p.queueDue(); replies != 1 || !p.lastReplyQueued || string(p.pending) != "onetwoend" {
+	if replies, _, _ := p.queueDue(); replies != 1 || !p.lastReplyQueued || string(p.pending) != "onetwoend" {
 		t.Errorf("%d replies are due, pending %q, want 1 and onetwoend, as the last reply", replies, p.pending)
 	}
 }
--- a/internal/proxy/client_writer.go
+++ b/internal/proxy/client_writer.go
@@ -25,7 +25,8 @@
 	if c.closed {
 		return
 	}
-	replies, size := c.pipeline.queueDue()
+	replies, size, reserved := c.pipeline.queueDue()
+	c.services.replyBudget.Release(reserved)
 	if replies == 0 {
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,9 @@
 	// and replyReserveShare is the share that requests leave to replies.
 	requestReserveShare = 0.25
 	replyReserveShare   = 0.125
+	// replyMemoryShare is the share of the process memory that values may use which wait for a slow command of their
+	// connection.
+	replyMemoryShare = 0.1
 	// customerMemoryShare is the share of the process memory that the state of customers may use.
 	customerMemoryShare = 0.15
 	defaultMemoryMB     = 192  // used if the configuration sets none
@@ -113,6 +116,7 @@
 	p.startTimes.Sample(p.loop.Now(), p.wallClock())
 	p.readyAt = p.loop.Now() + readyTimeout.Seconds()
 	input := int64(float64(processMemory(cfg)) * inputMemoryShare)
+	p.replyBudget = readbuf.NewBudget(int64(float64(processMemory(cfg))*replyMemoryShare), 0)
 	p.inputBudget = readbuf.NewBudget(input, int64(float64(input)*readAheadReserveShare))
 	if err := p.openSockets(ctx); err != nil {
 		return nil, err
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -32,6 +32,7 @@
 	connectionLimitReached policy.Reason = "connection_limit_reached"
 	tooManyOpenRequests    policy.Reason = "too_many_open_requests"
 	inputMemoryExhausted   policy.Reason = "input_memory_exhausted"
+	replyMemoryExhausted   policy.Reason = "reply_memory_exhausted"
 	noDecision             policy.Reason = "no_decision_in_time"
 	noReason               policy.Reason = "" // the reply is a value
 )
@@ -134,9 +135,12 @@
 
 // fail replies to a request with an error.
 func (t *requestTable) fail(r *request, why policy.Reason) {
-	t.reply(r, redcon.AppendError(nil, "ERR failed"), why)
+	t.reply(r, failedReply(), why)
 }
 
+// failedReply returns the reply to a request that has failed.
+func failedReply() []byte { return redcon.AppendError(nil, "ERR failed") }
+
 // rejectLocally rejects a request without passing it to the decision module.
 func (t *requestTable) rejectLocally(c *clientConn, parsed *command.Request, why policy.Reason) {
 	t.services.warn("request rejected", "id", parsed.ID, "connection", c.number, "reason", string(why))
@@ -152,12 +156,30 @@
 	return redcon.AppendError(nil, "BUSY "+strconv.Itoa(int(math.Ceil(retryAfter*1000))))
 }
 
+// reserveWaitingReply reserves n bytes of the reply budget for a value that has to wait for the replies before it. It
+// reports whether enough was available. A value that does not wait needs none.
+func (t *requestTable) reserveWaitingReply(r *request, n int) bool {
+	c := r.client
+	if c.closed || c.pipeline.isFirst(r.slot) {
+		return true
+	}
+	if !t.services.replyBudget.Reserve(n) {
+		return false
+	}
+	r.slot.reserved = n
+	return true
+}
+
 // reply gives a request its final reply. It does nothing if the request is done. The parameter why is the reason for a
-// rejection or an error, and noReason for a value.
+// rejection or an error, and noReason for a value. A value that would have to wait for the replies before it, and for
+// which the reply budget has no room, is replaced by an error.
 func (t *requestTable) reply(r *request, reply []byte, why policy.Reason) {
 	if r.done {
 		return
 	}
+	if why == noReason && !t.reserveWaitingReply(r, len(reply)) {
+		reply, why = failedReply(), replyMemoryExhausted
+	}
 	r.slot.reply = reply
 	t.trace.completed(r, reply, why)
 	t.finish(r)
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -31,6 +31,8 @@
 	loop  *eventloop.Loop
 	// inputBudget limits the memory for buffered input, for the arguments of open requests and for unwritten replies.
 	inputBudget *readbuf.Budget
+	// replyBudget limits the memory for values that wait for the replies before them.
+	replyBudget *readbuf.Budget
 	warnings    warningLimiter
 	decider     decider
 }
