Take memory for replies from the client that reads least

Where the input budget had no room for replies that a client's socket did not take, reserveOutput failed and that connection was abandoned with all that it was owed, whoever held the budget.

Now the connection whose writes have made no progress for longest makes room, and the one that needs it is closed only if that is itself.

--- a/internal/proxy/client_writer.go
+++ b/internal/proxy/client_writer.go
@@ -38,15 +38,30 @@
 	}
 }
 
-// reserveOutput reserves n bytes of the input budget for unwritten replies. It reports whether enough was available.
+// reserveOutput reserves n bytes of the input budget for unwritten replies. If too few are available, it closes
+// connections whose writes have made no progress for longer than that of c. It reports whether it has reserved the bytes.
 func (c *clientConn) reserveOutput(n int) bool {
-	if !c.services.inputBudget.Reserve(n) {
-		return false
+	for !c.services.inputBudget.Reserve(n) {
+		slowest := c.set.slowestWriter()
+		if slowest == nil || slowest == c {
+			return false
+		}
+		slowest.abandon(memoryBudget, nil)
 	}
 	c.reservedOutput += n
 	return true
 }
 
+// slowestWriter returns the connection whose writer has made no progress for longest, or nil if none has a writer.
+func (s *clientSet) slowestWriter() (slowest *clientConn) {
+	for c := range s.conns {
+		if c.writing && (slowest == nil || c.writeProgressAt.Load() < slowest.writeProgressAt.Load()) {
+			slowest = c
+		}
+	}
+	return slowest
+}
+
 // recordWritten records that n more bytes were written to the socket, and releases the permits of the replies that are
 // now completely written.
 func (c *clientConn) recordWritten(n int) {
