--- a/cmd/knownred/main.go
+++ b/cmd/knownred/main.go
@@ -3,9 +3,10 @@
 // exactly the listed tests, or nothing if the list is empty. To standard error, it prints the skipped tests and why they
 // fail.
 //
-// A line of the file holds a test name, the cause and the issue number, separated by " | ":
+// A line of the file holds a test name, the command that runs it with its seed, what was seen, and the issue number,
+// separated by " | ":
 //
-//	TestName | what is wrong | 8
+//	TestName | go test ./package -run TestName, seed 7 | what was seen | 8
 package main
 
 import (
@@ -24,7 +25,7 @@
 
 // Errors in the list.
 var (
-	errMalformedEntry = errors.New(`want "TestName | cause | issue number"`)
+	errMalformedEntry = errors.New(`want "TestName | command and seed | what was seen | issue number"`)
 	errUnknownTest    = errors.New("unknown test")
 	errDuplicateTest  = errors.New("is already listed")
 	errTooMany        = errors.New("too many tests listed")
@@ -59,7 +60,7 @@
 	var skipped []string
 	for _, e := range entries {
 		skipped = append(skipped, e.test)
-		if _, err := fmt.Fprintf(log, "known red, skipped: %s (issue %s): %s\n", e.test, e.issue, e.cause); err != nil {
+		if _, err := fmt.Fprintf(log, "known red, skipped: %s (issue %s; %s): %s\n", e.test, e.issue, e.command, e.seen); err != nil {
 			return err
 		}
 	}
@@ -78,10 +79,11 @@
 	return lines, scanner.Err()
 }
 
-// knownRed is an entry of the list: a test, why it fails, and the number of the issue.
-type knownRed struct{ test, cause, issue string }
+// knownRed is an entry of the list: a test, the command that runs it with its seed, what was seen when it failed, and the
+// number of the issue.
+type knownRed struct{ test, command, seen, issue string }
 
-var entryFormat = regexp.MustCompile(`^(Test\w+) \| (\S.*) \| (\d+)$`)
+var entryFormat = regexp.MustCompile(`^(Test\w+) \| (\S.*?) \| (\S.*) \| (\d+)$`)
 
 // parseList parses the list. Each entry must name one of tests, no test may be listed twice, and there may be at most
 // maxKnownRed entries.
@@ -96,7 +98,7 @@
 		if match == nil {
 			return nil, fmt.Errorf("line %d: %w", number, errMalformedEntry)
 		}
-		entry := knownRed{test: match[1], cause: match[2], issue: match[3]}
+		entry := knownRed{test: match[1], command: match[2], seen: match[3], issue: match[4]}
 		if !slices.Contains(tests, entry.test) {
 			return nil, fmt.Errorf("line %d: %w %s", number, errUnknownTest, entry.test)
 		}
--- a/cmd/knownred/main_test.go
+++ b/cmd/knownred/main_test.go
@@ -13,17 +13,18 @@
 	const names = "TestA\nTestB\nTestC\nTestD\nok  	some/package	0.1s\n"
 	for name, tc := range map[string]struct{ file, out, log, err string }{
 		"empty list":          {"\n\n", "", "", ""},
-		"one":                 {"TestA | it is late | 8\n", "^(TestA)$\n", "known red, skipped: TestA (issue 8): it is late\n", ""},
-		"three":               {"TestA | x | 8\n\nTestB | y | 8\nTestC | z | 9", "^(TestA|TestB|TestC)$\n", "TestC (issue 9): z", ""},
-		"four":                {"TestA | x | 8\nTestB | x | 8\nTestC | x | 8\nTestD | x | 8\n", "", "", "too many tests listed: 4, at most 3 allowed"},
-		"no issue":            {"TestA | x\n", "", "", "line 1: want"},
-		"no cause":            {"TestA |  | 8\n", "", "", "line 1: want"},
-		"a pattern":           {"Test.* | x | 8\n", "", "", "line 1: want"},
-		"a prefix":            {"Test | x | 8\n", "", "", "line 1: want"},
-		"a subtest":           {"TestA/b | x | 8\n", "", "", "line 1: want"},
-		"unknown":             {"\nTestE | x | 8\n", "", "", "line 2: unknown test TestE"},
-		"a longer name":       {"TestAB | x | 8\n", "", "", "unknown test TestAB"},
-		"the same test twice": {"TestA | x | 8\nTestA | x | 8\n", "", "", "line 2: TestA is already listed"},
+		"one":                 {"TestA | go test ./a, seed 7 | it is late | 8\n", "^(TestA)$\n", "known red, skipped: TestA (issue 8; go test ./a, seed 7): it is late\n", ""},
+		"three":               {"TestA | c | x | 8\n\nTestB | c | y | 8\nTestC | c | z | 9", "^(TestA|TestB|TestC)$\n", "TestC (issue 9; c): z", ""},
+		"four":                {"TestA | c | x | 8\nTestB | c | x | 8\nTestC | c | x | 8\nTestD | c | x | 8\n", "", "", "too many tests listed: 4, at most 3 allowed"},
+		"no issue":            {"TestA | c | x\n", "", "", "line 1: want"},
+		"nothing seen":        {"TestA | c |  | 8\n", "", "", "line 1: want"},
+		"no command":          {"TestA | x | 8\n", "", "", "line 1: want"},
+		"a pattern":           {"Test.* | c | x | 8\n", "", "", "line 1: want"},
+		"a prefix":            {"Test | c | x | 8\n", "", "", "line 1: want"},
+		"a subtest":           {"TestA/b | c | x | 8\n", "", "", "line 1: want"},
+		"unknown":             {"\nTestE | c | x | 8\n", "", "", "line 2: unknown test TestE"},
+		"a longer name":       {"TestAB | c | x | 8\n", "", "", "unknown test TestAB"},
+		"the same test twice": {"TestA | c | x | 8\nTestA | c | x | 8\n", "", "", "line 2: TestA is already listed"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "KNOWN-RED.txt")
