Tighten two tests of the limit on customers

TestUnsentReportsOfRejectedCustomersTakeNoMemory passed without the compaction of batches, as messages were still sent now and then, and nothing failed where isUnused ignored the view of an earlier ledger or a report that was sent.

--- a/policy/customer_limit_test.go
+++ b/policy/customer_limit_test.go
@@ -169,6 +169,15 @@
 	if c.mayBeEvicted(now + 1) {
 		t.Error("a member may evict a customer whose quota other gateways have used up")
 	}
+	c.attempted, c.report.sent = false, false // the view is that of an earlier ledger
+	if c.mayBeEvicted(now + 1) {
+		t.Error("a gateway that was the owner may evict a customer whose quota is used up")
+	}
+	c.quota = quotaView{window: tokenBucket{tokens: 8, updatedAt: now}}
+	c.report.sent, c.report.scheduled = true, true // the owner has been told of units that were refunded since
+	if c.mayBeEvicted(now + 1) {
+		t.Error("a member may evict a customer before it has reported the refund of reported units")
+	}
 }
 
 // The owner must not evict a customer while other gateways have attempts of it in flight.
@@ -217,7 +226,7 @@
 // A member that has no budget left for messages must not keep the customers of rejected requests for their reports.
 func TestUnsentReportsOfRejectedCustomersTakeNoMemory(t *testing.T) {
 	const limit = 50
-	g, _ := newTestGateway(t, func(s *Settings) { s.GatewayCount, s.MaxCustomers, s.PeerMessageRate = 3, limit, 0.1 })
+	g, _ := newTestGateway(t, func(s *Settings) { s.GatewayCount, s.MaxCustomers, s.PeerMessageRate = 3, limit, 1e-9 })
 	g.HandleEndpoints(100, nil, true)
 	now := 100.0
 	for i := range 5000 {
