--- a/review/standins-2/cmd/ceiling/main.go
+++ b/review/standins-2/cmd/ceiling/main.go
@@ -5,11 +5,10 @@
 import (
 	"errors"
 	"fmt"
+	"standins2/kit"
 	"strconv"
 	"sync"
 	"time"
-
-	"standins2/kit"
 )
 
 // The figures of the plan estandar, as in the example of the settings (WIRE).
--- a/review/standins-2/cmd/halfcommands/main.go
+++ b/review/standins-2/cmd/halfcommands/main.go
@@ -5,10 +5,9 @@
 import (
 	"errors"
 	"os"
+	"standins2/kit"
 	"sync"
 	"time"
-
-	"standins2/kit"
 )
 
 const (
--- a/review/standins-2/cmd/leaver/main.go
+++ b/review/standins-2/cmd/leaver/main.go
@@ -4,11 +4,10 @@
 
 import (
 	"errors"
+	"standins2/kit"
 	"strings"
 	"sync"
 	"time"
-
-	"standins2/kit"
 )
 
 const (
--- a/review/standins-2/cmd/memory/main.go
+++ b/review/standins-2/cmd/memory/main.go
@@ -6,13 +6,12 @@
 	"errors"
 	"fmt"
 	"os"
+	"standins2/kit"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"standins2/kit"
 )
 
 const (
--- a/review/standins-2/cmd/owner/main.go
+++ b/review/standins-2/cmd/owner/main.go
@@ -6,12 +6,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"standins2/kit"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
-
-	"standins2/kit"
 )
 
 const (
--- a/review/standins-2/kit/resp.go
+++ b/review/standins-2/kit/resp.go
@@ -88,6 +88,7 @@
 
 // Served, Refused report the meaning of an answer.
 func (r Reply) Served() bool { return r.Kind == '$' }
+
 func (r Reply) Refused() bool {
 	return r.Kind == '-' && (r.Text == "BUSY" || strings.HasPrefix(r.Text, "BUSY "))
 }
