Let the review cases end their gateways when nobody reads their output

A run of case 6 whose output was cut off by head had left one gateway behind: the case was ended by SIGPIPE. Runs with the output closed, and one ended by SIGTERM, now leave none (three tries).

--- a/review/standins-2/kit/main.go
+++ b/review/standins-2/kit/main.go
@@ -53,7 +53,9 @@
 		}
 	}()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Without this a reader of the output that has gone would end the case before it has ended its gateways.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	result := CouldNot
 	select {
 	case result = <-code:
