--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -94,6 +94,7 @@
 	default:
 		c.closeRequested, c.usedSinceCloseRequest, c.closeReason = true, false, why
 		c.set.closing++
+		c.set.closeRequests++
 		c.pauseRequested.Store(true)
 		_ = c.conn.SetReadDeadline(pastDeadline) // fails if the connection has ended, which the reader reports
 	}
@@ -113,6 +114,7 @@
 	}
 	c.closeRequested = false
 	c.set.closing--
+	c.set.refusedCloses++
 	c.pauseRequested.Store(false)
 	c.resume <- struct{}{}
 	c.set.enforceLimit() // another connection may have to be closed instead
--- a/internal/proxy/client_set.go
+++ b/internal/proxy/client_set.go
@@ -51,6 +51,8 @@
 	configuredLimit    int // highest value of limit
 	overLimitAllowance int // number of connections accepted beyond the limit so that their requests get a rejection
 	closing            int // number of open connections whose close was requested
+	closeRequests      int // number of requests to close a connection so far, for the log
+	refusedCloses      int // number of these after which the connection stayed open
 	// connSlots holds an element for each connection. The listener adds it before it accepts the connection, and the
 	// event loop removes it when it closes the connection.
 	connSlots chan struct{}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -205,5 +205,8 @@
 	p.log.Debug(
 		"resource usage", "customers", p.decider.CustomerCount(), "requests", len(p.requests.byID),
 		"clients", p.clients.open(), "input_budget_left", p.inputBudget.Available(), "queued_events", p.loop.QueuedEvents(),
+		"clients_closing", p.clients.closing, "client_slots_used", len(p.clients.connSlots),
+		"client_slots", cap(p.clients.connSlots), "close_requests", p.clients.closeRequests,
+		"refused_closes", p.clients.refusedCloses,
 	)
 }
