Evict clients that have stopped within a command, and ask each only once

Cause: makeRoom asked every connection without an open command to close. readerPaused kept those with a part of a command open, and enforceLimit asked the next one, without end: 630,050 requests to close in 11 s, 629,782 refused. Those asked did not count as open, so new connections were neither accepted (143 of 143 slots used) nor shut.

A client that has been quiet for 0.1 s within a command, or before its first byte, is evicted first and gets its error; what has input on its way is not asked; what stayed open is not asked again before new input. Beyond the limit, connections wait for that instead of being shut, so that idle clients and those that send a request keep their places. Slow senders go last, once nothing else made room for 0.1 s.

Why this works: each request to close now ends in a close or in new input, so the loop ends, and the slots that the backlog waits for are freed within 0.1 s and a check of 10 ms.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -45,6 +45,7 @@
 	pauseRequested  atomic.Bool          // the reader must pause when its read is interrupted
 	discardInput    atomic.Bool          // after its pause, the reader must discard further input and end
 	hasReceived     atomic.Bool          // at least one byte was read
+	partialCommand  atomic.Bool          // the reader has read a part of a command and waits for the rest
 	shedding        atomic.Bool          // the reader discards a command that has not ended
 	shedRequested   atomic.Bool          // the reader must shed its partial command
 	partialInput    atomic.Int64         // bytes of the input budget that the reader holds for a partial command
@@ -60,10 +61,13 @@
 	lastUsedAt            policy.Seconds // when it was added, opened a request or queued a reply, whichever was last
 	closeReason           closeReason    // reason given with the close request
 	closeRequested        bool           // the reader was asked to pause so that the connection can be closed
+	closeWithinCommand    bool           // the connection may be evicted while its client is sending a command
 	usedSinceCloseRequest bool           // a reply was queued after the close request
 	inputHandled          bool           // a command of the client was handled, or its input was rejected
 	inputDiscarded        bool           // the reader has rejected input and finished discarding what follows it
 	sendingShutDown       bool           // shutDownSending was called; further commands are ignored
+	lingering             bool           // nothing is owed to the client, which gets time to close its side
+	keptAt                policy.Seconds // value of lastInputAt when it could not be evicted; see keepUntilNextInput
 	overLimit             bool           // accepted beyond the connection limit; requests are rejected until there is room
 	closed                bool
 }
@@ -93,6 +97,7 @@
 		c.close(why, nil)
 	default:
 		c.closeRequested, c.usedSinceCloseRequest, c.closeReason = true, false, why
+		c.closeWithinCommand = false
 		c.set.closing++
 		c.set.closeRequests++
 		c.pauseRequested.Store(true)
@@ -101,25 +106,40 @@
 }
 
 // readerPaused runs when the reader has paused and all commands that it has read are handled. It closes the connection
-// if it is idle, has no unread input and, except during a drain, has queued no reply since the close request. If the
-// connection stays open, the reader continues. Event loop only.
+// if mayClose allows it. Otherwise the reader continues. Event loop only.
 func (c *clientConn) readerPaused() {
 	if c.closed {
 		return
 	}
-	unused := c.set.status.isDraining() || !c.usedSinceCloseRequest
-	if unused && c.idle() && !c.reader.hasPartialCommand() && netcalls.NoDataPending(c.rawConn) {
+	if c.mayClose() {
+		if c.reader.hasPartialCommand() {
+			c.replyLocally(errorReply(errNoCommand), true)
+		}
 		c.closeGracefully()
 		return
 	}
 	c.closeRequested = false
 	c.set.closing--
 	c.set.refusedCloses++
+	if !c.usedSinceCloseRequest {
+		c.keepUntilNextInput()
+	}
 	c.pauseRequested.Store(false)
 	c.resume <- struct{}{}
 	c.set.enforceLimit() // another connection may have to be closed instead
 }
 
+// mayClose reports whether a connection whose reader has paused may be closed. It has to be idle and have no unread
+// input. Except during a drain, it must not have queued a reply since the close request. A part of a command keeps it
+// open, unless mayCloseWithinCommand allows its eviction.
+func (c *clientConn) mayClose() bool {
+	unused := c.set.status.isDraining() || !c.usedSinceCloseRequest
+	if !unused || !c.idle() || !netcalls.NoDataPending(c.rawConn) {
+		return false
+	}
+	return !c.reader.hasPartialCommand() || c.mayCloseWithinCommand()
+}
+
 // closeGracefully closes a connection without pending replies. Closing a socket that holds unread bytes resets the
 // connection, which destroys replies that the client has not received yet. So if the connection was used within
 // replyDeliveryTime, only the sending side is shut down at first, and the reader discards further input for up to
@@ -131,6 +151,7 @@
 		return
 	}
 	c.shutDownSending()
+	c.lingering = true
 	c.discardInput.Store(true)
 	c.resume <- struct{}{}
 }
--- a/internal/proxy/client_input_memory.go
+++ b/internal/proxy/client_input_memory.go
@@ -22,8 +22,10 @@
 	inputMemoryPoll = 2 * time.Millisecond
 )
 
-// publishPartialCommand tells the event loop how much of the input budget the reader holds for a partial command.
+// publishPartialCommand tells the event loop whether the reader holds a partial command, and how much of the input
+// budget it holds for that.
 func (r *clientReader) publishPartialCommand() {
+	r.client.partialCommand.Store(r.hasPartialCommand())
 	r.client.partialInput.Store(int64(r.buffer.Reserved()))
 }
 
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -128,6 +128,7 @@
 		services: shared, set: l.clients, number: l.accepted,
 		conn: netcalls.RetryingConn{Conn: conn, Sleep: shared.calls.Sleep}, rawConn: rawConn,
 		permits: make(chan struct{}, maxPipelined), done: make(chan struct{}), resume: make(chan struct{}, 1),
+		keptAt: neverKept,
 	}
 	c.reader = clientReader{
 		client: c, services: shared, parser: l.parser, buffer: readbuf.NewBuffer(shared.inputBudget, shared.inputBudget.Share(requestReserveShare)),
--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -98,7 +98,8 @@
 	}
 	r.buffer.Commit(n)
 	r.arrivals.record(r.buffer.Len(), arrived)
-	r.client.partialInput.Store(0) // what the buffer holds now may be complete commands
+	r.client.partialCommand.Store(false) // what the buffer holds now may be complete commands
+	r.client.partialInput.Store(0)
 	ended, ok := r.handleInput(at)
 	if !ok {
 		return false
--- a/internal/proxy/client_set.go
+++ b/internal/proxy/client_set.go
@@ -47,12 +47,14 @@
 	requests           *requestTable
 	status             gatewayStatus
 	conns              map[*clientConn]struct{}
-	limit              int // requests on further connections are rejected; lowered while descriptors are short
-	configuredLimit    int // highest value of limit
-	overLimitAllowance int // number of connections accepted beyond the limit so that their requests get a rejection
-	closing            int // number of open connections whose close was requested
-	closeRequests      int // number of requests to close a connection so far, for the log
-	refusedCloses      int // number of these after which the connection stayed open
+	limit              int            // requests on further connections are rejected; lowered while descriptors are short
+	configuredLimit    int            // highest value of limit
+	overLimitAllowance int            // number of connections accepted beyond the limit so that their requests get a rejection
+	closing            int            // number of open connections whose close was requested
+	roomCheckScheduled bool           // see scheduleRoomCheck
+	lastRoomAt         policy.Seconds // when there was room for a new connection last; see enforceLimit
+	closeRequests      int            // number of requests to close a connection so far, for the log
+	refusedCloses      int            // number of these after which the connection stayed open
 	// connSlots holds an element for each connection. The listener adds it before it accepts the connection, and the
 	// event loop removes it when it closes the connection.
 	connSlots chan struct{}
@@ -85,15 +87,21 @@
 // notClosing returns the number of open connections whose close was not requested.
 func (s *clientSet) notClosing() int { return len(s.conns) - s.closing }
 
-// add adds a connection that the listener has accepted. If the limit is reached, it tries to evict other connections. It
-// closes the new one if that fails and overLimitAllowance is used up too.
+// add adds a connection that the listener has accepted. If the limit is reached, it tries to evict others. If
+// overLimitAllowance is used up too and all others have open commands, it closes the new one.
 func (s *clientSet) add(c *clientConn) {
 	c.overLimit = s.makeRoom(c)
-	if c.overLimit && s.notClosing() >= s.limit+s.overLimitAllowance {
+	s.closeLingering()
+	if c.overLimit && s.full() && !s.hasIdle() {
 		s.services.warn("client rejected: too many connections", "open", s.open())
 		c.close(tooManyConnections, nil)
 		return
 	}
+	if c.overLimit {
+		s.scheduleRoomCheck()
+	} else {
+		s.lastRoomAt = s.services.loop.Now()
+	}
 	now := s.services.loop.Now()
 	c.openedAt, c.lastUsedAt = now, now
 	s.conns[c] = struct{}{}
@@ -120,14 +128,6 @@
 	s.enforceLimit() // add also evicts, but there may be no new connection
 }
 
-// enforceLimit evicts connections if more than limit are open, until fewer than limit are or none can be evicted.
-// Connections whose close was requested are not counted.
-func (s *clientSet) enforceLimit() {
-	if s.notClosing() > s.limit {
-		s.makeRoom(nil)
-	}
-}
-
 // closeIdle requests the close of all idle connections during a drain.
 func (s *clientSet) closeIdle() {
 	for c := range s.conns {
@@ -136,73 +136,3 @@
 		}
 	}
 }
-
-// makeRoom evicts idle and stalled connections, the lowest eviction rank first, until fewer than limit connections
-// are open. Connections whose close was requested are not counted. newcomer, which may be nil, is neither counted nor
-// evicted. makeRoom returns true if limit or more connections remain and none of them can be evicted.
-func (s *clientSet) makeRoom(newcomer *clientConn) (overLimit bool) {
-	for {
-		candidate, others := s.evictionCandidate(newcomer)
-		switch {
-		case others < s.limit:
-			return false
-		case candidate == nil:
-			return true
-		case candidate.writing:
-			candidate.abandon(evicted, nil)
-		default:
-			candidate.requestClose(evicted)
-		}
-	}
-}
-
-// evictionCandidate returns the connection to evict next, or nil if none can be evicted. The candidate is the least
-// recently used connection of the lowest rank. others is the number of connections whose close was not requested,
-// without newcomer.
-func (s *clientSet) evictionCandidate(newcomer *clientConn) (candidate *clientConn, others int) {
-	var lowest evictionRank
-	for c := range s.conns {
-		if c == newcomer || c.closeRequested {
-			continue
-		}
-		others++
-		if !c.idle() && !c.stalled(s.services.loop.Now()) {
-			continue
-		}
-		rank := c.evictionRank()
-		if candidate == nil || rank < lowest || rank == lowest && c.lastUsedAt < candidate.lastUsedAt {
-			candidate, lowest = c, rank
-		}
-	}
-	return candidate, others
-}
-
-// evictionRank is the order of eviction: connections of the lowest rank are evicted first.
-type evictionRank int
-
-// Ranks of idle and stalled connections, in the order of eviction.
-const (
-	rankLastReplyQueued evictionRank = iota // the last reply was written, and the reader is still discarding input
-	rankNothingReceived                     // the client has not sent any bytes
-	rankIdle                                // a command was handled, none is open, and no reply is left to write
-	// rankUnhandledInput: the client has sent its first input or closed the connection, and the event loop has not handled
-	// that yet. An eviction now would usually free no descriptor: readerPaused keeps a connection open if it has unread
-	// input or has queued a reply since the close request.
-	rankUnhandledInput
-	rankStalled // the client does not read its replies
-)
-
-// evictionRank returns the rank of an idle or stalled connection.
-func (c *clientConn) evictionRank() evictionRank {
-	switch {
-	case c.writing:
-		return rankStalled
-	case c.pipeline.lastReplyQueued:
-		return rankLastReplyQueued
-	case c.inputHandled:
-		return rankIdle
-	case c.hasReceived.Load() || !netcalls.NoDataPending(c.rawConn):
-		return rankUnhandledInput
-	}
-	return rankNothingReceived
-}
--- a/internal/proxy/descriptors.go
+++ b/internal/proxy/descriptors.go
@@ -62,6 +62,7 @@
 		}
 	}
 	s.limit = max(minClients, min(s.limit, s.notClosing()-evictions))
-	s.makeRoom(nil)
+	s.evictDownTo(s.limit-1, evictForRequest, nil)
+	s.closeLingering()
 	return true
 }
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -72,7 +72,7 @@
 	case c.closed, c.sendingShutDown:
 	case t.drain.timedOut:
 		t.rejectLocally(c, parsed, shuttingDown)
-	case c.overLimit && c.set.makeRoom(c):
+	case c.overLimit && !c.set.admitsRequest(c):
 		t.rejectLocally(c, parsed, connectionLimitReached)
 	case t.byID[parsed.ID] != nil:
 		c.replyLocally(redcon.AppendError(nil, "ERR a request of this id is open"), false)
