Count the time that a request waits in the backlog of the listener

Cause: clientListener.newConn took the socket for empty when it was accepted, and estimate cut the age that the kernel reports at that time.

Change: newArrivalTracker. Bytes that the socket holds when it is accepted may have come since the connection was established (last_data_sent, as nothing was sent yet); if it holds none, nothing has come. The first command timeout counts from there too.

--- a/internal/proxy/arrival.go
+++ b/internal/proxy/arrival.go
@@ -4,6 +4,7 @@
 	"syscall"
 
 	"reedlead/internal/eventloop"
+	"reedlead/internal/netcalls"
 	"reedlead/policy"
 
 	"golang.org/x/sys/unix"
@@ -12,7 +13,8 @@
 // The deadline of a request counts from the arrival of its last byte at this machine. The reader may read that byte
 // much later, for instance after a stall of the process or a wait for a permit (see acquirePermit). The kernel does not
 // report when each byte arrived, so the arrival time is estimated. Where it is uncertain, the estimate is early rather
-// than late, because a late estimate would extend the deadline.
+// than late, because a late estimate would extend the deadline. A connection may also have waited in the backlog of the
+// listener, with a command that had come already.
 
 // arrival holds the estimated arrival times of the bytes of one read.
 type arrival struct {
@@ -32,12 +34,22 @@
 // arrivalTracker records the estimated arrival times of the bytes in a connection's read buffer. The connection's
 // reader owns it.
 type arrivalTracker struct {
-	// lastEmptyAt is the time at which a read last emptied the socket. Until a read has done so, it is the time at which
-	// the connection was accepted, or the start of a stall that was in progress then or had just ended.
+	// lastEmptyAt is the time at which a read last emptied the socket. For its value before that, see newArrivalTracker.
 	lastEmptyAt policy.Seconds
 	reads       []bufferedRead // reads with bytes in the buffer, oldest first
 }
 
+// newArrivalTracker returns the tracker of a connection that was accepted at acceptedAt. What its socket holds already
+// may have arrived at any time since the connection was established. Otherwise the socket was empty at acceptedAt, or at
+// the start of a stall that was in progress then or had just ended.
+func newArrivalTracker(raw syscall.RawConn, stalls *eventloop.StallDetector, acceptedAt policy.Seconds) arrivalTracker {
+	lastEmptyAt := stalls.LastOnTime(acceptedAt)
+	if !netcalls.NoDataPending(raw) {
+		lastEmptyAt = min(lastEmptyAt, acceptedAt-connectionAge(raw))
+	}
+	return arrivalTracker{lastEmptyAt: lastEmptyAt}
+}
+
 // bufferedRead is a read that has bytes in the buffer.
 type bufferedRead struct {
 	end     int // buffer offset behind its last byte
@@ -97,15 +109,31 @@
 	return arrived
 }
 
-// lastDataAge returns the time since data last arrived on a connection, which the kernel counts in whole milliseconds.
-// ok is false if the kernel does not report it.
+// lastDataAge returns the time since data last arrived on a connection. ok is false if the kernel does not report it.
 func lastDataAge(raw syscall.RawConn) (age policy.Seconds, ok bool) {
+	info, ok := tcpInfo(raw)
+	return milliseconds(info.Last_data_recv), ok
+}
+
+// connectionAge returns the time since a connection was established on which this side has sent nothing, or 0 if the
+// kernel does not report it. The kernel sets the times of the last data in both directions when it is established.
+func connectionAge(raw syscall.RawConn) policy.Seconds {
+	info, _ := tcpInfo(raw)
+	return milliseconds(max(info.Last_data_sent, info.Last_data_recv))
+}
+
+// milliseconds converts a time that the kernel counts in whole milliseconds.
+func milliseconds(n uint32) policy.Seconds {
 	const millisecondsPerSecond = 1000
+	return policy.Seconds(n) / millisecondsPerSecond
+}
+
+// tcpInfo returns the kernel's record of a connection. ok is false if there is none.
+func tcpInfo(raw syscall.RawConn) (info unix.TCPInfo, ok bool) {
 	failed := raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err == nil {
-			age, ok = policy.Seconds(info.Last_data_recv)/millisecondsPerSecond, true
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info, ok = *got, true
 		}
 	})
-	return age, ok && failed == nil
+	return info, ok && failed == nil
 }
--- a/internal/proxy/client_eviction_test.go
+++ b/internal/proxy/client_eviction_test.go
@@ -63,13 +63,13 @@
 	const interval = 5 * time.Millisecond
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	_, err := c.Conn.Write([]byte("*5\r\n$9\r\nCALL.POST\r\n$60000\r\n"))
+	_, err := c.Write([]byte("*5\r\n$9\r\nCALL.POST\r\n$60000\r\n"))
 	for err == nil {
 		select {
 		case <-stop:
 			return
 		case <-ticker.C:
-			_, err = c.Conn.Write([]byte("x"))
+			_, err = c.Write([]byte("x"))
 		}
 	}
 }
--- a/internal/proxy/client_listener.go
+++ b/internal/proxy/client_listener.go
@@ -132,7 +132,7 @@
 	}
 	c.reader = clientReader{
 		client: c, services: shared, parser: l.parser, buffer: readbuf.NewBuffer(shared.inputBudget, shared.inputBudget.Share(requestReserveShare)),
-		arrivals: arrivalTracker{lastEmptyAt: shared.loop.StallDetector().LastOnTime(at)},
+		arrivals: newArrivalTracker(rawConn, shared.loop.StallDetector(), at), connectedAt: at - connectionAge(rawConn),
 	}
 	return c
 }
--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"reedlead/internal/command"
+	"reedlead/internal/eventloop"
 	"reedlead/internal/readbuf"
 	"reedlead/internal/resp"
 	"reedlead/policy"
@@ -59,6 +60,7 @@
 	buffer         readbuf.Buffer
 	shed           *shedCommand // the command that is being shed, of which the buffer holds no more than a header; nil if none is
 	arrivals       arrivalTracker
+	connectedAt    policy.Seconds // when the connection was established, which is before it was accepted
 	badCommands    int
 	deadlineActive bool      // the client must complete a command by deadline
 	deadline       time.Time // zero if there is none
@@ -68,11 +70,19 @@
 func (r *clientReader) run() {
 	defer r.buffer.Free()
 	r.deadlineActive = true
-	r.setDeadline(time.Now().Add(r.client.set.commandTimeout))
+	r.setDeadline(time.Now().Add(r.firstCommandTimeout()))
 	for r.readOnce() {
 	}
 }
 
+// firstCommandTimeout returns the time that is left for the first command. The command timeout counts from when the
+// connection was established, but what came while it was not accepted must be read.
+func (r *clientReader) firstCommandTimeout() time.Duration {
+	set := r.client.set
+	waited := eventloop.Duration(r.services.clock.Now() - r.connectedAt)
+	return max(set.commandTimeout-waited, min(set.commandTimeout, eventloop.Duration(set.inputStallTimeout)))
+}
+
 // setDeadline sets the read deadline. If the event loop has requested a pause, the deadline that interrupts the reader
 // stays in force.
 func (r *clientReader) setDeadline(deadline time.Time) {
