Close evicted connections at once when their client never got a reply

Cause: closeGracefully lingers for half a second after a recent use, so that a reset destroys no reply in flight. A new connection counted as used, so silent clients lingered too, each in a slot.

Change: only a connection on which a reply was queued lingers.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -59,6 +59,7 @@
 	writing               bool           // a writer goroutine is running
 	openedAt              policy.Seconds // when the event loop added the connection
 	lastUsedAt            policy.Seconds // when it was added, opened a request or queued a reply, whichever was last
+	hasReplied            bool           // a reply was queued
 	closeReason           closeReason    // reason given with the close request
 	closeRequested        bool           // the reader was asked to pause so that the connection can be closed
 	closeWithinCommand    bool           // the connection may be evicted while its client is sending a command
@@ -141,12 +142,12 @@
 }
 
 // closeGracefully closes a connection without pending replies. Closing a socket that holds unread bytes resets the
-// connection, which destroys replies that the client has not received yet. So if the connection was used within
+// connection, which destroys replies that the client has not received yet. So if a reply was queued within
 // replyDeliveryTime, only the sending side is shut down at first, and the reader discards further input for up to
 // shutdownTimeout before the connection is closed. The client has to repeat the discarded commands on another
 // connection.
 func (c *clientConn) closeGracefully() {
-	if c.services.loop.Now()-c.lastUsedAt > replyDeliveryTime {
+	if !c.hasReplied || c.services.loop.Now()-c.lastUsedAt > replyDeliveryTime {
 		c.close(c.closeReason, nil)
 		return
 	}
--- a/internal/proxy/client_eviction_test.go
+++ b/internal/proxy/client_eviction_test.go
@@ -88,3 +88,22 @@
 	late.wantLines("-BUSY 500")
 	idle.mustPing()
 }
+
+// TestEvictedSilentClientFreesItsSlotAtOnce guards against the connection of a client that has sent nothing, and is owed
+// nothing, keeping its slot for shutdownTimeout after its eviction.
+func TestEvictedSilentClientFreesItsSlotAtOnce(t *testing.T) {
+	h := startWithFewSlots(t)
+	silent := h.client()
+	h.eventually("the connection is accepted", func() bool { return h.proxy.clients.open() == 1 })
+	var conn *clientConn
+	h.onLoop(func() {
+		conn = h.onlyClient()
+		h.proxy.clients.limit = 1
+		h.proxy.clients.evictDownTo(0, evictForRequest, nil)
+	})
+	h.eventually("the connection is closed", h.allClientsClosed)
+	if conn.lingering {
+		t.Error("the connection waited for its client to close it")
+	}
+	silent.wantLines("")
+}
--- a/internal/proxy/client_writer.go
+++ b/internal/proxy/client_writer.go
@@ -31,6 +31,7 @@
 		return
 	}
 	c.lastUsedAt, c.usedSinceCloseRequest = c.services.loop.Now(), true
+	c.hasReplied = true
 	if !c.writing {
 		c.writePending()
 	} else if !c.reserveOutput(size) {
