Tell customers apart by their names, in tables and in peer messages

Cause: customerTable.find and the records of peer messages identified customers by 32 bits of a hash, while names on sockets have 33 bits and others any number. Evidence: two gateways without sockets sent 400 of 400 requests, where the ceiling allows 60.

Messages carry the codes behind the records, in entries that earlier versions skip. What an earlier version reports is counted to the customer of its key and plan.

Why this works: two names of numbers never have one code, and each lookup compares it.

TestCustomersOfOneKeyKeepTheirOwnCeiling fails before (400 sent).

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -26,8 +26,9 @@
 // are defined in ledger.go (owner), quota_view.go (member), local_window.go, ceiling.go, owner.go and
 // client_retry.go.
 type customer struct {
-	key  uint32 // upper half of the name's hash; identifies the customer in peer messages
-	hash uint64 // hash of the name and position on the ring; 0 while gatewayCount is 0
+	key  uint32   // upper half of the name's hash
+	name nameCode // with key, identifies the customer
+	hash uint64   // hash of the name and position on the ring; 0 while gatewayCount is 0
 	plan *plan
 
 	// The gatewayCount consecutive gateways from firstGateway on receive the customer's requests. gatewayCount
@@ -67,6 +68,7 @@
 	attempted    bool // an attempt was made at this gateway since the customer was added
 
 	previous, next *customer // in customerTable.queue
+	nextOfKey      *customer // in customerTable.byKey
 }
 
 // gateways returns the number of gateways that receive the customer's requests, or 1 if the number is
@@ -115,7 +117,8 @@
 	self, gatewayCount int
 	owners             ownerFinder
 	startedAt          Seconds
-	byKey              map[uint32]*customer
+	byKey              map[uint32]*customer // the first of a list, which nextOfKey links, of customers of a key
+	count              int                  // number of customers in the table
 	queue              customerQueue
 	limit              int // number of customers that the table can hold; 0 means no limit
 	reports            reportScheduler
@@ -158,10 +161,10 @@
 // they are not known yet, the customer's gateways.
 func (t *customerTable) find(r Request) *customer {
 	hash := hashName(r.Customer)
-	key := uint32(hash >> 32)
-	c := t.byKey[key]
+	key, name, p := nameKey(hash), encodeName(r.Customer), t.plans[r.Plan]
+	c := t.findNamed(key, name, p)
 	if c == nil {
-		if c = t.add(key, t.plans[r.Plan]); c == nil {
+		if c = t.add(key, name, p); c == nil {
 			return nil
 		}
 	}
@@ -172,6 +175,39 @@
 	return c
 }
 
+// identify returns the customer of a record from another gateway, or nil if it is not in the table. If the
+// other gateway's version sends no names, it is a customer of the record's key and plan.
+func (t *customerTable) identify(record usageRecord) *customer {
+	p := t.plansByIndex[record.planIndex]
+	if record.name != unknownName {
+		return t.findNamed(record.key, record.name, p)
+	}
+	return t.findInList(record.key, func(c *customer) bool { return c.plan == p })
+}
+
+// findNamed returns the customer with the given name, or nil. A customer of the same key and plan whose name
+// was not known is taken for it from now on.
+func (t *customerTable) findNamed(key uint32, name nameCode, p *plan) *customer {
+	if c := t.findInList(key, func(c *customer) bool { return c.name == name }); c != nil {
+		return c
+	}
+	c := t.findInList(key, func(c *customer) bool { return c.name == unknownName && c.plan == p })
+	if c != nil {
+		c.name = name
+	}
+	return c
+}
+
+// findInList returns the first customer of a key for which accept returns true, or nil.
+func (t *customerTable) findInList(key uint32, accept func(*customer) bool) *customer {
+	for c := t.byKey[key]; c != nil; c = c.nextOfKey {
+		if accept(c) {
+			return c
+		}
+	}
+	return nil
+}
+
 // use records that a customer is used now.
 func (t *customerTable) use(c *customer) {
 	c.usedAt = t.clock.now
@@ -180,21 +216,37 @@
 
 // add creates a customer with a full quota window. Its ceiling share and pool are treated as empty at the
 // start of this gateway and refilled since then. add returns nil if the table has no room.
-func (t *customerTable) add(key uint32, p *plan) *customer {
+func (t *customerTable) add(key uint32, name nameCode, p *plan) *customer {
 	if !t.makeRoom() {
 		return nil
 	}
 	now := t.clock.now
 	c := &customer{
-		key: key, plan: p, primaryOwner: t.self, isPrimaryOwner: true, usedAt: now, rejectedAt: math.Inf(-1),
+		key: key, name: name, plan: p, primaryOwner: t.self, isPrimaryOwner: true,
+		usedAt: now, rejectedAt: math.Inf(-1),
 		quota:        quotaView{window: tokenBucket{tokens: p.Burst, updatedAt: now}},
 		ceilingShare: tokenBucket{updatedAt: t.startedAt}, ceilingPool: tokenBucket{updatedAt: t.startedAt},
 	}
-	t.byKey[key] = c
+	c.nextOfKey, t.byKey[key] = t.byKey[key], c
+	t.count++
 	t.queue.pushLast(c)
 	return c
 }
 
+// removeFromList removes a customer from the list of its key.
+func (t *customerTable) removeFromList(c *customer) {
+	if t.byKey[c.key] != c {
+		previous := t.findInList(c.key, func(other *customer) bool { return other.nextOfKey == c })
+		previous.nextOfKey = c.nextOfKey
+		return
+	}
+	if c.nextOfKey == nil {
+		delete(t.byKey, c.key)
+		return
+	}
+	t.byKey[c.key] = c.nextOfKey
+}
+
 // setGateways records which gateways receive a customer's requests, and determines its primary owner. If
 // gatewayCount is out of range, all gateways receive them.
 func (t *customerTable) setGateways(c *customer, hash uint64, firstGateway, gatewayCount int) {
@@ -210,11 +262,13 @@
 // also evicts expired members from the ledgers of the other customers.
 func (t *customerTable) evictIdle() {
 	now := t.clock.now
-	for _, c := range t.byKey {
+	for c := t.queue.first; c != nil; {
+		next := c.next // evict unlinks c
 		if now-c.usedAt > customerExpiry && c.isIdle() && c.allWindowsFull(now) {
 			t.evict(c)
 		} else if c.ledger != nil {
 			c.ledger.evictMembers(now)
 		}
+		c = next
 	}
 }
--- a/policy/customer_limit.go
+++ b/policy/customer_limit.go
@@ -51,7 +51,7 @@
 // examines the evictionProbes customers that were used least recently. Those that cannot be evicted move to
 // the end of the queue, so that later calls examine others.
 func (t *customerTable) makeRoom() bool {
-	if t.limit == 0 || len(t.byKey) < t.limit {
+	if t.limit == 0 || t.count < t.limit {
 		return true
 	}
 	for range evictionProbes {
@@ -67,7 +67,8 @@
 
 // evict removes a customer from the table, and its scheduled report, if any.
 func (t *customerTable) evict(c *customer) {
-	delete(t.byKey, c.key)
+	t.removeFromList(c)
+	t.count--
 	t.queue.remove(c)
 	if c.report.scheduled {
 		t.reports.unschedule(c)
--- a/policy/customer_test.go
+++ b/policy/customer_test.go
@@ -7,7 +7,7 @@
 
 // findTestCustomer returns the customer with the given name, or nil if the gateway does not know it.
 func findTestCustomer(g *Gateway, name string) *customer {
-	return g.quota.customers.byKey[uint32(hashName(name)>>32)]
+	return g.quota.customers.findNamed(nameKey(hashName(name)), encodeName(name), nil)
 }
 
 // Customers that send no more requests must be evicted, and so must endpoints that leave the endpoint list. Otherwise
@@ -25,7 +25,7 @@
 		g.HandleTimer(now, 1)
 	}
 	limit := int((customerExpiry + customerExpiry/2) / 0.1)
-	customers := len(g.quota.customers.byKey)
+	customers := g.quota.customers.count
 	if len(g.endpoints.byID) > limit || len(g.endpoints.byHash) > limit || customers > limit {
 		t.Errorf("%d endpoints, %d endpoint hashes and %d customers are kept, want at most %d", len(g.endpoints.byID), len(g.endpoints.byHash),
 			customers, limit)
@@ -65,13 +65,13 @@
 	s.GatewayCount = 4
 	clock := &eventClock{now: 100}
 	table := newCustomerTable(s, clock, fixedOwner(2))
-	reported := table.add(uint32(hashName("x")>>32), table.plansByIndex[0]) // as replyToReport adds it
+	reported := table.add(nameKey(hashName("x")), unknownName, table.plansByIndex[0]) // as replyToReport adds it
 	if !reported.isPrimaryOwner || reported.gatewayCount != 0 {
 		t.Fatal("this gateway is not the primary owner of a customer known only from reports")
 	}
 	clock.now = 101
 	found := table.find(Request{Customer: "x", Plan: "basic", FirstGateway: 1, GatewayCount: 3})
-	if found != reported || len(table.byKey) != 1 {
+	if found != reported || table.count != 1 {
 		t.Fatal("the customer added for a report is not found by its name")
 	}
 	if found.primaryOwner != 2 || found.isPrimaryOwner || found.firstGateway != 1 || found.gatewayCount != 3 || found.usedAt != 101 {
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -156,7 +156,7 @@
 }
 
 // CustomerCount returns the number of customers whose usage this gateway keeps.
-func (g *Gateway) CustomerCount() int { return len(g.quota.customers.byKey) }
+func (g *Gateway) CustomerCount() int { return g.quota.customers.count }
 
 // HandleRequest admits, queues or rejects a client's request. It fails a request of an unknown class, and
 // ignores a request with the ID of an open one.
--- a/policy/gossip.go
+++ b/policy/gossip.go
@@ -42,7 +42,7 @@
 	oldest := max(0, len(b.updates)-gossipPerMessage)
 	for i := len(b.updates) - 1; i >= oldest && len(updates) < limit; i-- {
 		update := b.updates[i]
-		if now-update.at < gossipExpiry && update.class < loadUpdateByte {
+		if now-update.at < gossipExpiry && update.class < firstEntryByte {
 			updates = append(updates, update)
 		}
 	}
--- a/policy/grants.go
+++ b/policy/grants.go
@@ -57,12 +57,13 @@
 func (q *quotaController) handleRecords(from int, received message) {
 	replies := q.protocol.newMessage()
 	for _, record := range received.records {
-		c := q.customers.byKey[record.key]
 		switch {
 		case record.planIndex >= len(q.customers.plansByIndex):
-		case record.fromOwner && c != nil && c.report.gateway == from:
-			q.applyReply(c, record)
-		case !record.fromOwner:
+		case record.fromOwner:
+			if c := q.customers.identify(record); c != nil && c.report.gateway == from {
+				q.applyReply(c, record)
+			}
+		default:
 			report := memberReport{
 				usageRecord: record, from: from, incarnation: received.incarnation, receivedAt: q.clock.now,
 			}
@@ -75,9 +76,9 @@
 // replyToReport applies a member's report and returns the reply. It adds the customer if it is new, and
 // denies the report if the table has no room for it.
 func (q *quotaController) replyToReport(report memberReport) usageRecord {
-	c := q.customers.byKey[report.key]
+	c := q.customers.identify(report.usageRecord)
 	if c == nil {
-		c = q.customers.add(report.key, q.customers.plansByIndex[report.planIndex])
+		c = q.customers.add(report.key, report.name, q.customers.plansByIndex[report.planIndex])
 	}
 	if c == nil {
 		return q.denyReport(report)
@@ -93,7 +94,7 @@
 // asks again.
 func (q *quotaController) denyReport(report memberReport) usageRecord {
 	reply := usageRecord{
-		key: report.key, planIndex: report.planIndex, fromOwner: true, remainingKnown: true,
+		key: report.key, name: report.name, planIndex: report.planIndex, fromOwner: true, remainingKnown: true,
 		total: report.total - report.unacknowledged, demand: q.protocol.format.maxDemand(),
 	}
 	if report.wantedUnits > 0 {
--- a/policy/ledger.go
+++ b/policy/ledger.go
@@ -178,7 +178,9 @@
 	now := report.receivedAt
 	l := c.currentLedger(now)
 	m := l.recordUsage(report, format)
-	reply := usageRecord{key: c.key, planIndex: c.plan.index, fromOwner: true, remainingKnown: true}
+	reply := usageRecord{
+		key: c.key, name: report.name, planIndex: c.plan.index, fromOwner: true, remainingKnown: true,
+	}
 	if report.wantedUnits > 0 {
 		reply.wantedUnits = report.wantedUnits
 		if units := c.grantableUnits(l, report); units > 0 {
--- a/policy/message_codec.go
+++ b/policy/message_codec.go
@@ -9,7 +9,7 @@
 
 // The layout of a peer message: a header, usage records and health updates, each of a fixed size. All numbers
 // are big-endian. The header holds the version, the sender's incarnation, the sequence number (two bytes) and
-// the number of usage records. All bytes after the records belong to health updates.
+// the number of usage records. After the records come the names of their customers and health updates.
 const (
 	messageVersion = 2
 	maxMessageSize = 256 // bytes
@@ -48,8 +48,7 @@
 	updateAgeOffset   = 4
 	updateSize        = 5 // bytes
 
-	// loadUpdateByte is the class byte of a load update. Outlier scores of classes with this index or above are
-	// not sent.
+	// loadUpdateByte is the class byte of a load update.
 	loadUpdateByte = 255
 )
 
@@ -102,7 +101,8 @@
 // The fields hold units, but the ranges given below are in wire units: multiply them by
 // messageFormat.unitsPerWireUnit. On the wire, units and demand are sent in quarters of a wire unit.
 type usageRecord struct {
-	key              uint32  // upper 32 bits of the customer's hash
+	key              uint32 // upper 32 bits of the customer's hash
+	name             nameCode
 	planIndex        int     // index of the plan in the settings
 	fromOwner        bool    // the sender is the customer's owner
 	remainingKnown   bool    // remaining is based on an owner's reply or a ledger, not assumed
@@ -162,14 +162,19 @@
 	return baseRecordSize
 }
 
-// hasRoomForRecords reports whether a message can hold the given number of records.
-func (f messageFormat) hasRoomForRecords(records int) bool {
-	return headerSize+records*f.recordSize() <= maxMessageSize
+// hasRoomFor reports whether a message with the given records can hold another one.
+func (f messageFormat) hasRoomFor(records []usageRecord, next usageRecord) bool {
+	return f.sizeWithoutUpdates(append(records, next)) <= maxMessageSize
 }
 
-// maxUpdates returns the number of health updates that fit into a message with the given number of records.
-func (f messageFormat) maxUpdates(records int) int {
-	return (maxMessageSize - headerSize - records*f.recordSize()) / updateSize
+// maxUpdates returns the number of health updates that fit into a message with the given records.
+func (f messageFormat) maxUpdates(records []usageRecord) int {
+	return (maxMessageSize - f.sizeWithoutUpdates(records)) / updateSize
+}
+
+// sizeWithoutUpdates returns the size of a message with the given records and no health updates, in bytes.
+func (f messageFormat) sizeWithoutUpdates(records []usageRecord) int {
+	return headerSize + len(records)*f.recordSize() + namesSize(records)
 }
 
 // roundDifference rounds the difference of two totals to the resolution of the wire format. It also undoes
@@ -200,6 +205,7 @@
 	for _, record := range m.records {
 		data = f.appendRecord(data, record)
 	}
+	data = appendNames(data, m.records)
 	for _, update := range m.updates {
 		data = appendUpdate(data, update, now)
 	}
@@ -276,9 +282,10 @@
 		decoded.records = append(decoded.records, f.decodeRecord(body))
 		body = body[f.recordSize():]
 	}
-	for len(body) > 0 {
-		decoded.updates = append(decoded.updates, decodeUpdate(body, now))
-		body = body[updateSize:]
+	for body = decodeNames(decoded.records, body); len(body) > 0; body = body[updateSize:] {
+		if !isNameEntry(body) { // else a gateway of an earlier version has forwarded it
+			decoded.updates = append(decoded.updates, decodeUpdate(body, now))
+		}
 	}
 	return decoded, nil
 }
--- a/policy/message_codec_test.go
+++ b/policy/message_codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -147,17 +148,20 @@
 
 func TestFullMessageStaysWithinMaxMessageSize(t *testing.T) {
 	for _, format := range []messageFormat{testFormat, {unitsPerWireUnit: 1, widePlanIndex: true}} {
-		full := message{}
-		for format.hasRoomForRecords(len(full.records) + 1) {
-			full.records = append(full.records, usageRecord{key: 1})
-		}
-		full.updates = make([]healthUpdate, format.maxUpdates(len(full.records)))
-		size := len(format.encode(full, 100))
-		if size > maxMessageSize || size <= maxMessageSize-updateSize {
-			t.Errorf("format %+v: a full message has %d bytes, want at most %d with no room for another update", format, size, maxMessageSize)
-		}
-		if decoded, err := format.decode(format.encode(full, 100), 100); err != nil || len(decoded.records) != len(full.records) {
-			t.Errorf("format %+v: a full message loses records or is decoded with error %v", format, err)
+		for _, record := range []usageRecord{{key: 1}, namedRecord("00000001ffffffff"), namedRecord("a text")} {
+			full := message{}
+			for format.hasRoomFor(full.records, record) {
+				full.records = append(full.records, record)
+			}
+			full.updates = make([]healthUpdate, format.maxUpdates(full.records))
+			size := len(format.encode(full, 100))
+			if size > maxMessageSize || size <= maxMessageSize-updateSize {
+				t.Errorf("format %+v: a full message has %d bytes, want at most %d with no room for another update", format, size, maxMessageSize)
+			}
+			decoded, err := format.decode(format.encode(full, 100), 100)
+			if err != nil || !slices.Equal(decoded.records, full.records) {
+				t.Errorf("format %+v: a full message loses records or is decoded with error %v", format, err)
+			}
 		}
 	}
 }
--- a/policy/peer.go
+++ b/policy/peer.go
@@ -94,7 +94,7 @@
 	if len(m.records) == 0 {
 		return
 	}
-	m.updates = p.gossip.recent(p.format.maxUpdates(len(m.records)), p.clock.now)
+	m.updates = p.gossip.recent(p.format.maxUpdates(m.records), p.clock.now)
 	p.sendToPeer(gateway, p.format.encode(m, p.clock.now))
 }
 
--- a/policy/usage_reports.go
+++ b/policy/usage_reports.go
@@ -154,7 +154,7 @@
 	batch, taken := &u.batches[gateway], 0
 	m := u.protocol.newMessage()
 	for _, c := range batch.customers {
-		if !u.protocol.format.hasRoomForRecords(len(m.records) + 1) {
+		if !u.protocol.format.hasRoomFor(m.records, usageRecord{name: c.name}) {
 			break
 		}
 		taken++
@@ -174,7 +174,7 @@
 	now := u.clock.now
 	remaining := c.remainingUnitsAsMember(now) // called first: may change remainingKnown and acknowledgedUnits
 	record := usageRecord{
-		key: c.key, planIndex: c.plan.index,
+		key: c.key, name: c.name, planIndex: c.plan.index,
 		remainingKnown: c.quota.remainingKnown, ceilingPool: c.report.gateway == c.primaryOwner,
 		total: c.totalUnits, remaining: remaining, demand: c.demand.rateAt(now), inFlight: c.inFlight,
 		unacknowledged: c.unacknowledgedUnits(),
