--- a/policy/message_names.go
+++ b/policy/message_names.go
@@ -1,9 +1,9 @@
 package policy
 
 // The names of the customers of a message follow its records, as entries of the size of a health update. The
-// byte at updateClassOffset holds the type of an entry, and the other bytes hold 32 bits. Gateways of versions
-// that know no such entries skip them, as updates of a class that they don't have, and identify customers by
-// their keys alone.
+// byte at updateClassOffset holds the type of an entry, and the other bytes hold 32 bits. Gateways of
+// versions that know no such entries skip them, as updates of a class that they don't have, and identify
+// customers by their keys alone.
 //
 // Either each record has entries, in the order of the records, or none has. A gateway of an earlier version
 // may have forwarded an entry as a health update. Such a one is recognized, as its number does not fit to the
@@ -104,8 +104,8 @@
 	return rest
 }
 
-// decodeName returns the name at the start of data, and the size of its entries. The size is 0 if data does not
-// begin with the name of a customer with the given key.
+// decodeName returns the name at the start of data, and the size of its entries. The size is 0 if data does
+// not begin with the name of a customer with the given key.
 func decodeName(data []byte, key uint32) (name nameCode, size int) {
 	if len(data) < updateSize {
 		return unknownName, 0
