Read on behind open commands, so that the end of a client is noticed in time

Cause: a reader that waits for one of 32 permits read ahead 256 KiB and stopped. Evidence, in /proc/net/tcp during a run: the client in FIN-WAIT-1 with 3,405,117 bytes to send, the gateway ESTABLISHED with 631,467 unread; client_closed was false for all 179 attempts.

Change: with open requests, a reader reads ahead up to a quarter of the input budget. Beyond that, where no reply was written for 0.03 s, it rejects the commands at the front of the buffer in their place and reads on. Malformed input is discarded until the connection ends, not for 1 MiB only. handleCommands discards what is handled.

Why this works: either all input is read, and the FIN with it, or replies flow, and a client that has closed resets the connection at the next one.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -49,7 +49,9 @@
 	shedding        atomic.Bool          // the reader discards a command that has not ended
 	shedRequested   atomic.Bool          // the reader must shed its partial command
 	partialInput    atomic.Int64         // bytes of the input budget that the reader holds for a partial command
+	openRequests    atomic.Int32         // requests that have no final reply
 	lastInputAt     eventloop.AtomicTime // clock time of the last read that returned bytes
+	lastOutputAt    eventloop.AtomicTime // clock time of the last write of replies by the event loop
 	writeProgressAt eventloop.AtomicTime // last progress of the writer, at first its start
 
 	reader clientReader
@@ -80,11 +82,17 @@
 // replyLocally replies to a command, or to rejected input, without the decision module. If last is set, this is the
 // connection's last reply, after which the connection is closed. Event loop only.
 func (c *clientConn) replyLocally(reply []byte, last bool) {
+	c.addReply(&pipelineSlot{reply: reply, last: last})
+}
+
+// addReply adds a slot with its final reply to the pipeline. Event loop only.
+func (c *clientConn) addReply(slot *pipelineSlot) {
 	if c.closed || c.sendingShutDown {
+		c.services.replyBudget.Release(slot.reserved)
 		return
 	}
 	c.inputHandled = true
-	c.pipeline.add(&pipelineSlot{reply: reply, last: last})
+	c.pipeline.add(slot)
 	c.flush()
 }
 
--- a/internal/proxy/client_pipeline.go
+++ b/internal/proxy/client_pipeline.go
@@ -8,14 +8,16 @@
 	request *request // nil if the proxy replies without the decision module
 	reply   []byte   // in RESP; nil until it is final
 	last    bool     // the connection is closed after this reply
+	// withoutPermit is set if the command holds no permit, because the reader has refused it.
+	withoutPermit bool
 	// reserved is the number of bytes of the reply budget that are reserved for reply while it waits for the replies before
 	// it.
 	reserved int
 }
 
 // unwrittenReply is a reply that is queued but not completely written to the socket. Unless it is the connection's last
-// reply, it holds the permit of its command until it is written, so that the reader stops handling commands of a client
-// that does not read its replies.
+// reply, or that to a refused command, it holds the permit of its command until it is written, so that the reader stops
+// handling commands of a client that does not read its replies.
 type unwrittenReply struct {
 	requestID string // empty if the command is not a request
 	remaining int    // bytes not written yet
@@ -24,7 +26,8 @@
 
 // replyPipeline keeps the replies of a connection in the order of its commands. The event loop owns it.
 type replyPipeline struct {
-	// slots holds the open commands and the final replies behind them: at most maxPipelined, plus one for the last reply.
+	// slots holds the open commands and the final replies behind them: at most maxPipelined, plus one for the last reply
+	// and those of refused commands.
 	slots           []*pipelineSlot
 	pending         []byte           // queued replies that are neither written nor handed to a writer goroutine
 	unwritten       []unwrittenReply // replies that are pending or with a writer, oldest first
@@ -52,7 +55,7 @@
 	before := len(p.pending)
 	for replies < len(p.slots) && p.slots[replies].reply != nil && !p.lastReplyQueued {
 		slot := p.slots[replies]
-		unwritten := unwrittenReply{remaining: len(slot.reply), hasPermit: !slot.last}
+		unwritten := unwrittenReply{remaining: len(slot.reply), hasPermit: !slot.last && !slot.withoutPermit}
 		if slot.request != nil {
 			unwritten.requestID = slot.request.ID
 		}
@@ -68,7 +71,7 @@
 }
 
 // recordWritten records that n more bytes were written to the socket. It returns the number of permits to release: one
-// for each reply that is now completely written, except for the connection's last reply, which holds none.
+// for each reply that is now completely written and holds one.
 func (p *replyPipeline) recordWritten(n int) (permits int) {
 	completed := 0
 	for completed < len(p.unwritten) && n >= p.unwritten[completed].remaining {
--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -24,6 +24,9 @@
 	discardTimeout = 2 * time.Second
 	// maxDiscardedBytes is the maximum number of bytes that are discarded before a connection is closed.
 	maxDiscardedBytes = 1 << 20
+	// maxKeptInput is the number of handled bytes that the buffer may hold while later commands wait for a permit, if these
+	// are fewer.
+	maxKeptInput = 64 << 10
 	// typicalArguments is the number of arguments that a command can have before handleCommands needs a larger slice.
 	typicalArguments = 8
 )
@@ -38,6 +41,7 @@
 var (
 	errEmptyCommand     = errors.New("empty command")
 	errNoCommand        = errors.New("no whole command in time")
+	errPipelineTooLong  = errors.New("too many commands at once")
 	errOversizedCommand = errors.New("unknown command of over 2 KiB")
 )
 
@@ -60,6 +64,7 @@
 	buffer         readbuf.Buffer
 	shed           *shedCommand // the command that is being shed, of which the buffer holds no more than a header; nil if none is
 	arrivals       arrivalTracker
+	ahead          readAheadState
 	connectedAt    policy.Seconds // when the connection was established, which is before it was accepted
 	badCommands    int
 	deadlineActive bool      // the client must complete a command by deadline
@@ -209,35 +214,62 @@
 		}
 		commandEnded = true
 	}
-	used, ok := r.handleCommands(at)
+	used, some, ok := r.handleCommands(at)
 	r.discard(used)
-	return commandEnded || used > 0, ok
+	return commandEnded || some, ok
 }
 
-// handleCommands posts the complete commands in the buffer to the event loop and returns their total length. ok is
-// false if the connection has ended or its input was rejected.
-func (r *clientReader) handleCommands(at policy.Seconds) (used int, ok bool) {
+// handleCommands posts the complete commands in the buffer to the event loop and returns the length of those that it has
+// not discarded, and whether there were any. ok is false if the connection has ended or its input was rejected.
+func (r *clientReader) handleCommands(at policy.Seconds) (used int, some, ok bool) {
 	var space [typicalArguments][]byte
 	for used < r.buffer.Len() {
 		args, size, err := resp.ParseCommand(r.buffer.Bytes()[used:], space[:0])
 		if err != nil {
 			r.rejectInput(at, resp.SyntaxError{Cause: err})
-			return 0, false
+			return 0, some, false
 		}
 		if size == 0 {
 			break
 		}
-		if !r.acquirePermit() {
-			return 0, false
+		if !r.handleNext(at, used, size, args) {
+			return 0, some, false
 		}
-		if err := r.handleCommand(at, r.arrivals.commandArrival(used+size), args); err != nil {
-			if !r.replyError(at, err) {
-				return 0, false
-			}
+		some = true
+		if used += size; used >= maxKeptInput && 2*used >= r.buffer.Len() {
+			r.discard(used)
+			used = 0
 		}
-		used += size
 	}
-	return used, true
+	return used, some, true
+}
+
+// handleNext handles the complete command of the given size that stands at an offset of the buffer. It reports whether to
+// continue.
+func (r *clientReader) handleNext(at policy.Seconds, offset, size int, args [][]byte) (more bool) {
+	switch r.acquirePermit(size) {
+	case connectionEnded:
+		return false
+	case permitRefused:
+		request, err := r.parseCommand(args)
+		return r.refuse(at, request, err)
+	}
+	err := r.handleCommand(at, r.arrivals.commandArrival(offset+size), args)
+	return err == nil || r.replyError(at, err)
+}
+
+// parseCommand returns the request of a command, or nil if the command is a health check. If the command is invalid,
+// parseCommand returns the error to send to the client.
+func (r *clientReader) parseCommand(args [][]byte) (*command.Request, error) {
+	switch {
+	case len(args) == 0:
+		return nil, errEmptyCommand
+	case command.IsRequest(args[0]):
+		return r.parser.Parse(args)
+	case bytes.EqualFold(args[0], []byte(pingCommand)):
+		return nil, nil
+	}
+	return nil, unknownCommand(args[0])
 }
 
 // handleCommand posts an event for one complete command to the event loop. at is the time of the event, and arrivedAt is
@@ -246,24 +278,17 @@
 func (r *clientReader) handleCommand(at, arrivedAt policy.Seconds, args [][]byte) error {
 	shared, c := r.services, r.client
 	requests := c.set.requests
+	request, err := r.parseCommand(args)
 	switch {
-	case len(args) == 0:
-		return errEmptyCommand
-	case command.IsRequest(args[0]):
-		request, err := r.parser.Parse(args)
-		if err != nil {
-			return err
-		}
-		if !shared.inputBudget.ReserveLeaving(request.Size, shared.inputBudget.Share(replyReserveShare)) {
-			shared.loop.Post(at, func() { requests.rejectLocally(c, request, inputMemoryExhausted) })
-			return nil
-		}
-		request.CopyArgs()
-		shared.loop.Post(at, func() { requests.admit(c, request, arrivedAt) })
-	case bytes.EqualFold(args[0], []byte(pingCommand)):
+	case err != nil:
+		return err
+	case request == nil:
 		shared.loop.Post(at, func() { c.replyToPing() })
+	case !shared.inputBudget.ReserveLeaving(request.Size, shared.inputBudget.Share(replyReserveShare)):
+		shared.loop.Post(at, func() { requests.rejectLocally(c, request, inputMemoryExhausted) })
 	default:
-		return unknownCommand(args[0])
+		request.CopyArgs()
+		shared.loop.Post(at, func() { requests.admit(c, request, arrivedAt) })
 	}
 	return nil
 }
@@ -271,7 +296,7 @@
 // replyError replies to an invalid command with an error. It reports whether to continue, which is false after
 // maxBadCommands invalid commands.
 func (r *clientReader) replyError(at policy.Seconds, err error) (more bool) {
-	if r.badCommands++; r.badCommands == maxBadCommands {
+	if r.countBadCommand() {
 		<-r.client.permits // the last reply of a connection holds no permit
 		r.rejectInput(at, err)
 		return false
@@ -281,13 +306,19 @@
 	return true
 }
 
+// countBadCommand counts an invalid command, and reports whether it is the last that the connection may send.
+func (r *clientReader) countBadCommand() (last bool) {
+	r.badCommands++
+	return r.badCommands == maxBadCommands
+}
+
 // errorReply returns the error reply for err in RESP.
 func errorReply(err error) []byte { return redcon.AppendError(nil, "ERR "+err.Error()) }
 
 // rejectInput replies with an error to input that cannot be handled. It then discards further input for up to
 // discardTimeout, because closing a socket with unread bytes resets the connection and may destroy the reply. After
 // that, the connection is closed: directly if the client has closed its side or no reply is outstanding, and otherwise
-// after the last reply.
+// after the last reply. Until then, rejectInput goes on to discard input, to find out if the client disconnects.
 func (r *clientReader) rejectInput(at policy.Seconds, err error) {
 	c, reply := r.client, errorReply(err)
 	r.services.loop.Post(at, func() { c.replyLocally(reply, true) })
@@ -298,6 +329,24 @@
 			c.abandon(protocolError, err)
 		} // otherwise allWritten closes it after the last reply
 	})
+	if !closedByClient {
+		r.discardUntilClosed()
+	}
+}
+
+// discardUntilClosed reads and discards input until the connection ends, and then abandons it. It discards at most
+// maxRefusedInput bytes within readAheadInterval.
+func (r *clientReader) discardUntilClosed() {
+	c := r.client
+	_ = c.conn.SetReadDeadline(time.Time{}) // if it fails, so does the read
+	for {
+		_, err := io.CopyN(io.Discard, c.conn, maxRefusedInput)
+		if err != nil {
+			r.services.loop.Post(r.services.clock.Now(), func() { c.abandon(peerClosed, err) })
+			return
+		}
+		r.services.calls.Sleep(readAheadInterval)
+	}
 }
 
 // discardRemaining frees the read buffer, and reads and discards up to maxDiscardedBytes of input until the timeout. It
--- a/internal/proxy/client_shedding.go
+++ b/internal/proxy/client_shedding.go
@@ -58,8 +58,11 @@
 	shed := r.shed
 	r.shed = nil
 	r.client.shedding.Store(false)
-	if !r.acquirePermit() {
+	switch r.acquirePermit(used) {
+	case connectionEnded:
 		return 0, false, false
+	case permitRefused:
+		return used, true, r.refuse(at, shed.request, shed.err)
 	}
 	if shed.err != nil {
 		if !r.replyError(at, shed.err) {
--- a/internal/proxy/client_writer.go
+++ b/internal/proxy/client_writer.go
@@ -86,6 +86,9 @@
 		c.abandon(writeFailed, err)
 		return
 	}
+	if n > 0 {
+		c.lastOutputAt.Store(shared.clock.Now())
+	}
 	c.recordWritten(n)
 	rest := pending[n:]
 	if len(rest) == 0 {
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -33,6 +33,7 @@
 	tooManyOpenRequests    policy.Reason = "too_many_open_requests"
 	inputMemoryExhausted   policy.Reason = "input_memory_exhausted"
 	replyMemoryExhausted   policy.Reason = "reply_memory_exhausted"
+	pipelineTooLong        policy.Reason = "pipeline_too_long"
 	noDecision             policy.Reason = "no_decision_in_time"
 	noReason               policy.Reason = "" // the reply is a value
 )
@@ -93,6 +94,7 @@
 	}
 	r.slot.request = r
 	c.pipeline.add(r.slot)
+	c.openRequests.Add(1)
 	c.lastUsedAt = t.services.loop.Now()
 	t.byID[r.ID] = r
 	t.trace.accepted(r)
@@ -147,6 +149,18 @@
 	c.replyLocally(t.busyReply(t.settings.MaxRetryAfter), false)
 }
 
+// refuse gives a command that its reader has refused its place in the pipeline. If the command is sound, its reply is a
+// rejection. request is nil if it is not a request.
+func (t *requestTable) refuse(c *clientConn, slot *pipelineSlot, request *command.Request) {
+	if request != nil && slot.reply == nil {
+		t.services.warn("request rejected", "id", request.ID, "connection", c.number, "reason", string(pipelineTooLong))
+	}
+	if slot.reply == nil {
+		slot.reply = t.busyReply(t.settings.MaxRetryAfter)
+	}
+	c.addReply(slot)
+}
+
 // busyReply returns the reply to a rejected request. If retryAfter is positive and the settings enable it, the reply
 // includes it in milliseconds.
 func (t *requestTable) busyReply(retryAfter policy.Seconds) []byte {
@@ -191,6 +205,7 @@
 // removed once the outcomes of all its attempts have been reported.
 func (t *requestTable) finish(r *request) {
 	r.done = true
+	r.client.openRequests.Add(-1)
 	t.attempts.abortPartialWrites(r)
 	t.services.loop.Stop(r.timer)
 	t.services.inputBudget.Release(r.Size)
--- a/internal/readbuf/readbuf.go
+++ b/internal/readbuf/readbuf.go
@@ -80,10 +80,13 @@
 // taken more than it needs.
 func (b *Buffer) Growth() int { return b.nextSize() - InitialSize - b.reserved }
 
+// HasSpace reports whether Space returns a free part of the buffer without growing it.
+func (b *Buffer) HasSpace() bool { return cap(b.content)-len(b.content) >= InitialSize/2 }
+
 // Space returns the free part of the buffer to read into, growing the buffer if necessary. It returns nil if the budget
 // does not allow that.
 func (b *Buffer) Space() []byte {
-	if cap(b.content)-len(b.content) < InitialSize/2 {
+	if !b.HasSpace() {
 		if more := b.Growth(); more > 0 {
 			if !b.budget.ReserveLeaving(more, b.rest) {
 				return nil
