Charge what an open request takes to the input budget, beside its arguments

Cause: the input budget counts the arguments of open requests only.

Change: an open request takes 1,152 bytes more of the input budget, policy.RequestMemory of them for the decision module. What finds no room is rejected in its place, as before.

--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -83,9 +83,9 @@
 // firstCommandTimeout returns the time that is left for the first command. The command timeout counts from when the
 // connection was established, but what came while it was not accepted must be read.
 func (r *clientReader) firstCommandTimeout() time.Duration {
-	set := r.client.set
+	timeout := r.client.set.commandTimeout
 	waited := eventloop.Duration(r.services.clock.Now() - r.connectedAt)
-	return max(set.commandTimeout-waited, min(set.commandTimeout, eventloop.Duration(set.inputStallTimeout)))
+	return max(timeout-waited, min(timeout, eventloop.Duration(inputStallTimeout)))
 }
 
 // setDeadline sets the read deadline. If the event loop has requested a pause, the deadline that interrupts the reader
@@ -284,7 +284,7 @@
 		return err
 	case request == nil:
 		shared.loop.Post(at, func() { c.replyToPing() })
-	case !shared.inputBudget.ReserveLeaving(request.Size, shared.inputBudget.Share(replyReserveShare)):
+	case !shared.inputBudget.ReserveLeaving(openRequestSize(request), shared.inputBudget.Share(replyReserveShare)):
 		shared.loop.Post(at, func() { requests.rejectLocally(c, request, inputMemoryExhausted) })
 	default:
 		request.CopyArgs()
--- a/internal/proxy/requests.go
+++ b/internal/proxy/requests.go
@@ -26,6 +26,13 @@
 	done      bool             // it has its final reply, or its connection was abandoned
 }
 
+// openRequestMemory is an upper bound on the mean number of bytes that an open request takes, without its attempts and
+// the bytes of its arguments.
+const openRequestMemory = policy.RequestMemory + 768
+
+// openRequestSize returns the number of bytes of the input budget that a request takes while it is open.
+func openRequestSize(r *command.Request) int { return r.Size + openRequestMemory }
+
 // Reasons for which the proxy itself, not the decision module, rejects or fails a request; noReason is for values.
 const (
 	shuttingDown           policy.Reason = "shutting_down"
@@ -54,7 +61,7 @@
 	admitted := false
 	defer func() {
 		if !admitted {
-			t.services.inputBudget.Release(parsed.Size)
+			t.services.inputBudget.Release(openRequestSize(parsed))
 		}
 	}()
 	if t.rejectIfInadmissible(c, parsed) {
@@ -208,7 +215,7 @@
 	r.client.openRequests.Add(-1)
 	t.attempts.abortPartialWrites(r)
 	t.services.loop.Stop(r.timer)
-	t.services.inputBudget.Release(r.Size)
+	t.services.inputBudget.Release(openRequestSize(r.Request))
 	r.Args = nil
 	t.removeIfDone(r)
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -81,3 +81,7 @@
 	t.arrived = slices.DeleteFunc(t.arrived, (*request).ended)
 	return t.arrived
 }
+
+// RequestMemory is an upper bound on the mean number of bytes that the state of an open request takes, without its
+// attempts.
+const RequestMemory = 384
