Keep a reader from discarding input that a refusal has freed

TestRefusalWithoutMemoryEndsTheConnection panics before, and passes three times with the race detector.

--- a/internal/proxy/client_read_ahead_test.go
+++ b/internal/proxy/client_read_ahead_test.go
@@ -103,6 +103,32 @@
 	c.wantLines(`-ERR unknown command "NOVEL"`, "-ERR Protocol error: value over 64 KiB", "")
 }
 
+// TestRefusalWithoutMemoryEndsTheConnection guards against a crash when a long command is refused, and there is no memory
+// for another reply. The connection ends behind the replies that are owed.
+func TestRefusalWithoutMemoryEndsTheConnection(t *testing.T) {
+	h := startProxy(t, testConfig(unreachableAddress), func(h *harness) {
+		const budget = maxPipelined * 2 * openRequestMemory // long commands find no room
+		h.proxy.inputBudget = readbuf.NewBudget(budget, budget)
+		h.proxy.replyBudget = readbuf.NewBudget(0, 0)
+	})
+	c := h.client()
+	long := encodeCommand(holdCommand("long", strings.Repeat("x", longBody))...)
+	var short strings.Builder
+	for i := range maxPipelined {
+		short.WriteString(encodeCommand(lookCommand(fmt.Sprintf("r%03d", i))...))
+	}
+	c.write(short.String() + long + long)
+	for range maxPipelined {
+		receive(t, h.decider.requests)
+	}
+	h.eventually("the input is rejected", func() bool { return len(h.onlyClient().pipeline.slots) == maxPipelined+1 })
+	for i := range maxPipelined {
+		h.onLoop(func() { h.proxy.Fail(fmt.Sprintf("r%03d", i), "") })
+		c.wantLines("-ERR failed")
+	}
+	c.wantLines("-ERR too many commands at once", "")
+}
+
 // TestDisconnectIsDetectedBehindRejectedInput guards against attempts for a client that has disconnected, with its FIN
 // behind malformed input of which the reader has stopped to read.
 func TestDisconnectIsDetectedBehindRejectedInput(t *testing.T) {
--- a/internal/proxy/client_shedding.go
+++ b/internal/proxy/client_shedding.go
@@ -62,7 +62,10 @@
 	case connectionEnded:
 		return 0, false, false
 	case permitRefused:
-		return used, true, r.refuse(at, shed.request, shed.err)
+		if !r.refuse(at, shed.request, shed.err) {
+			return 0, false, false
+		}
+		return used, true, true
 	}
 	if shed.err != nil {
 		if !r.replyError(at, shed.err) {
