Bound what is read ahead and refused at a smaller share of the memory

The budgets kept what they promise, but were used up at once.

Change: a reader reads ahead up to an eighth of the input budget, not a quarter, and replies to refused commands leave half of the reply budget to values.

--- a/internal/proxy/client_read_ahead.go
+++ b/internal/proxy/client_read_ahead.go
@@ -23,7 +23,7 @@
 	// minReadAhead is the number of buffered bytes up to which a waiting reader reads ahead, and readAheadShare is the
 	// share of the input budget up to which it does while its client has open requests, if that is more.
 	minReadAhead   = 256 << 10
-	readAheadShare = 0.25
+	readAheadShare = 0.125
 	// readAheadReserveShare is the share of the input budget that must be available for a reader to read ahead.
 	readAheadReserveShare = 0.5
 
@@ -34,6 +34,8 @@
 	maxRefusedInput = 4 << 20
 	// refusedReplyMemory is the number of bytes of the reply budget that the reply to a refused command takes.
 	refusedReplyMemory = 256
+	// valueReserveShare is the share of the reply budget that replies to refused commands leave to values.
+	valueReserveShare = 0.5
 )
 
 // permitResult is the result of a wait for a permit.
@@ -163,7 +165,8 @@
 		r.rejectInput(at, err)
 		return false
 	}
-	if !r.services.replyBudget.Reserve(refusedReplyMemory) {
+	budget := r.services.replyBudget
+	if !budget.ReserveLeaving(refusedReplyMemory, budget.Share(valueReserveShare)) {
 		r.rejectInput(at, errPipelineTooLong)
 		return false
 	}
