End a connection, not the process, when its reader panics

Now the connection of the reader is closed, its requests are abandoned, and the panic is logged.

TestReaderPanicEndsItsConnectionAlone passes three times with the race detector; without the recovery the panic ends the test process.

--- a/internal/proxy/client_read_ahead_test.go
+++ b/internal/proxy/client_read_ahead_test.go
@@ -163,3 +163,16 @@
 		t.Error("the connection is not reset")
 	}
 }
+
+// TestReaderPanicEndsItsConnectionAlone guards against a process that ends with all connections when one reader panics.
+func TestReaderPanicEndsItsConnectionAlone(t *testing.T) {
+	h := startProxy(t, testConfig(unreachableAddress), nil)
+	c, conn := h.pingedClient()
+	func() {
+		defer conn.reader.recoverPanic()
+		panic("for a test")
+	}()
+	c.wantLines("")
+	other := h.client()
+	other.mustPing()
+}
--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"reedlead/internal/command"
@@ -74,12 +75,26 @@
 // run reads and handles commands until readOnce reports false.
 func (r *clientReader) run() {
 	defer r.buffer.Free()
+	defer r.recoverPanic()
 	r.deadlineActive = true
 	r.setDeadline(time.Now().Add(r.firstCommandTimeout()))
 	for r.readOnce() {
 	}
 }
 
+// recoverPanic ends the connection after a panic of its reader, so that the process and the other connections go on.
+func (r *clientReader) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	stack := debug.Stack()
+	r.services.loop.Post(r.services.clock.Now(), func() {
+		r.services.logPanic(cause, stack)
+		r.client.abandon(readerFailed, nil)
+	})
+}
+
 // firstCommandTimeout returns the time that is left for the first command. The command timeout counts from when the
 // connection was established, but what came while it was not accepted must be read.
 func (r *clientReader) firstCommandTimeout() time.Duration {
--- a/internal/proxy/reason.go
+++ b/internal/proxy/reason.go
@@ -22,6 +22,7 @@
 	drainDeadline      closeReason = "drain_deadline"       // still open shortly before SIGKILL
 	tooManyConnections closeReason = "too_many_connections" // the limit and the allowance beyond it are exhausted
 	protocolError      closeReason = "protocol_error"       // its input was rejected with an error
+	readerFailed       closeReason = "reader_failed"        // a panic in its reader
 	writeFailed        closeReason = "write_failed"         // writing a reply failed
 	unreadReplies      closeReason = "unread_replies"       // writing replies made no progress for stallTimeout
 	memoryBudget       closeReason = "memory_budget"        // the input budget has no room for its unwritten replies
--- a/internal/proxy/warnings.go
+++ b/internal/proxy/warnings.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// logPanic logs a panic in the handler of an event. The limit on warnings applies.
+// logPanic logs a panic in the handler of an event, or in the reader of a client. The limit on warnings applies.
 func (s *services) logPanic(cause any, stack []byte) {
 	s.warn("panic in event handler", "panic", fmt.Sprint(cause), "stack", string(stack))
 }
