Tell the runs of a gateway apart by 32 bits, random at each start

Cause: messages carried 8 bits of the incarnation, drawn from the seed alone, and peers dropped what came with an older sequence number of the same incarnation. Evidence: two gateways without sockets, one made anew with its seed: the owner sends no reply.

Change: 32 bits, mixed with a random number at each start, in an entry before the names, which earlier versions skip. A sequence number, 16 bits for all peers together, counts for 5 s after the last accepted message.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -97,9 +98,10 @@
 }
 
 // moduleSettings returns the settings of the decision module, with the number of customers that fit into
-// customerMemoryShare.
+// customerMemoryShare, and a random StartID: the configuration may hold the seed of an earlier start.
 func moduleSettings(cfg config.Config) policy.Settings {
 	s := cfg.Settings.Settings
+	s.StartID = rand.Uint32()
 	s.MaxCustomers = max(minCustomers, int(float64(processMemory(cfg))*customerMemoryShare)/policy.CustomerMemory)
 	return s
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -116,6 +116,9 @@
 	Classes            []Class
 	Plans              []Plan
 
+	// StartID distinguishes this start of the gateway from earlier ones with the same seed.
+	StartID uint32
+
 	// MaxRequestUnits is the maximum number of units of a request; 0 means no limit.
 	MaxRequestUnits int
 	// ActualUnitsInReply is set if Request.Units is an estimate and the reply reports the actual units.
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -113,7 +113,7 @@
 // draws the random incarnation that lets peers distinguish this start of the gateway from earlier ones.
 func (g *Gateway) initQuotaSide() {
 	settings := g.settings
-	incarnation := uint8(g.random.Uint32())
+	incarnation := g.random.Uint32() ^ settings.StartID
 	g.protocol = newPeerProtocol(settings, g.clock, incarnation, g.gossip, g.actions.SendToPeer)
 	g.owners = newOwnerDirectory(settings, g.protocol.reachable)
 	g.retries = newRetryPolicy(settings, g.clock)
--- a/policy/ledger.go
+++ b/policy/ledger.go
@@ -22,7 +22,7 @@
 
 // member is another gateway that reports its usage of the customer's quota to the owner.
 type member struct {
-	incarnation uint8
+	incarnation uint32
 	totalUnits  float64 // last reported count plus the units granted since
 	demand      demandMeter
 	inFlight    int // last reported attempts in flight plus one for each grant since
@@ -72,7 +72,7 @@
 type memberReport struct {
 	usageRecord
 	from        int
-	incarnation uint8
+	incarnation uint32
 	receivedAt  Seconds
 }
 
--- a/policy/message_codec.go
+++ b/policy/message_codec.go
@@ -7,9 +7,10 @@
 	"math"
 )
 
-// The layout of a peer message: a header, usage records and health updates, each of a fixed size. All numbers
-// are big-endian. The header holds the version, the sender's incarnation, the sequence number (two bytes) and
-// the number of usage records. After the records come the names of their customers and health updates.
+// The layout of a peer message: a header, usage records and health updates, each of a fixed size. All
+// numbers are big-endian. The header holds the version, the low byte of the sender's incarnation, the
+// sequence number (two bytes) and the number of usage records. After the records come the names of their
+// customers and health updates.
 const (
 	messageVersion = 2
 	maxMessageSize = 256 // bytes
@@ -84,7 +85,7 @@
 
 // message is a message from one gateway to another.
 type message struct {
-	incarnation uint8  // of the sending process
+	incarnation uint32 // of the sending process; its low byte alone if no name of the records is known
 	sequence    uint16 // increases with each message of an incarnation and wraps around
 	records     []usageRecord
 	updates     []healthUpdate
@@ -174,7 +175,7 @@
 
 // sizeWithoutUpdates returns the size of a message with the given records and no health updates, in bytes.
 func (f messageFormat) sizeWithoutUpdates(records []usageRecord) int {
-	return headerSize + len(records)*f.recordSize() + namesSize(records)
+	return headerSize + len(records)*f.recordSize() + identitySize(records)
 }
 
 // roundDifference rounds the difference of two totals to the resolution of the wire format. It also undoes
@@ -199,13 +200,16 @@
 // encode returns the encoded form of a message that is sent at now.
 func (f messageFormat) encode(m message, now Seconds) []byte {
 	data := make([]byte, 0, maxMessageSize)
-	data = append(data, messageVersion, m.incarnation)
+	data = append(data, messageVersion, byte(m.incarnation))
 	data = binary.BigEndian.AppendUint16(data, m.sequence)
 	data = append(data, byte(len(m.records)))
 	for _, record := range m.records {
 		data = f.appendRecord(data, record)
 	}
-	data = appendNames(data, m.records)
+	if hasNames(m.records) {
+		data = appendEntry(data, incarnationByte, m.incarnation)
+		data = appendNames(data, m.records)
+	}
 	for _, update := range m.updates {
 		data = appendUpdate(data, update, now)
 	}
@@ -275,15 +279,15 @@
 		return message{}, fmt.Errorf("%w: %d bytes with %d records", errMessageLength, len(data), count)
 	}
 	decoded := message{
-		incarnation: data[incarnationOffset],
+		incarnation: uint32(data[incarnationOffset]),
 		sequence:    binary.BigEndian.Uint16(data[sequenceOffset:]),
 	}
 	for range count {
 		decoded.records = append(decoded.records, f.decodeRecord(body))
 		body = body[f.recordSize():]
 	}
-	for body = decodeNames(decoded.records, body); len(body) > 0; body = body[updateSize:] {
-		if !isNameEntry(body) { // else a gateway of an earlier version has forwarded it
+	for body = decoded.decodeIdentity(body); len(body) > 0; body = body[updateSize:] {
+		if !isIdentityEntry(body) { // else a gateway of an earlier version has forwarded it
 			decoded.updates = append(decoded.updates, decodeUpdate(body, now))
 		}
 	}
--- a/policy/message_names.go
+++ b/policy/message_names.go
@@ -1,21 +1,22 @@
 package policy
 
-// The names of the customers of a message follow its records, as entries of the size of a health update. The
-// byte at updateClassOffset holds the type of an entry, and the other bytes hold 32 bits. Gateways of
-// versions that know no such entries skip them, as updates of a class that they don't have, and identify
-// customers by their keys alone.
+// The incarnation of the sender and the names of the customers of a message follow its records, as entries of
+// the size of a health update. The byte at updateClassOffset holds the type of an entry, and the other bytes
+// hold 32 bits. Gateways of versions that know no such entries skip them, as updates of a class that they
+// don't have, and identify gateways and customers by the header and the keys alone.
 //
-// Either each record has entries, in the order of the records, or none has. A gateway of an earlier version
+// The entries are complete, in the order of the records, or there are none. A gateway of an earlier version
 // may have forwarded an entry as a health update. Such a one is recognized, as its number does not fit to the
 // key of the record.
 
 // The types of entries. Outlier scores of classes with the index of a type are not sent.
 const (
-	lowNumberByte  = 252 // a number below 1<<entryBits
-	highNumberByte = 253 // 1<<entryBits plus the entry
-	digestByte     = 254 // half of a digest, in two entries; two zeros for an unknown name
+	incarnationByte = 251 // the incarnation of the sender
+	lowNumberByte   = 252 // a number below 1<<entryBits
+	highNumberByte  = 253 // 1<<entryBits plus the entry
+	digestByte      = 254 // half of a digest, in two entries; two zeros for an unknown name
 
-	firstEntryByte = lowNumberByte
+	firstEntryByte = incarnationByte
 	lastEntryByte  = digestByte
 )
 
@@ -30,12 +31,12 @@
 	return 2
 }
 
-// namesSize returns the size of the names of a message in bytes.
-func namesSize(records []usageRecord) int {
+// identitySize returns the size of the incarnation and the names of a message in bytes.
+func identitySize(records []usageRecord) int {
 	if !hasNames(records) {
 		return 0
 	}
-	entries := 0
+	entries := 1
 	for _, record := range records {
 		entries += nameEntries(record.name)
 	}
@@ -54,9 +55,6 @@
 
 // appendNames appends the names of the records.
 func appendNames(data []byte, records []usageRecord) []byte {
-	if !hasNames(records) {
-		return data
-	}
 	for _, record := range records {
 		data = appendName(data, record.name)
 	}
@@ -85,15 +83,29 @@
 	return uint32(data[0])<<24 | uint32(data[1])<<16 | uint32(data[3])<<8 | uint32(data[4])
 }
 
+// decodeIdentity sets the incarnation of the message and the names of its records from the entries at the
+// start of data, and returns what follows them. It sets nothing if the entries are not complete.
+func (m *message) decodeIdentity(data []byte) (rest []byte) {
+	if len(data) < updateSize || data[updateClassOffset] != incarnationByte {
+		return data
+	}
+	rest, ok := decodeNames(m.records, data[updateSize:])
+	if !ok {
+		return data
+	}
+	m.incarnation = entryValue(data)
+	return rest
+}
+
 // decodeNames sets the names of the records from the entries at the start of data, and returns what follows
-// them. If any record has no valid entry, it sets no name.
-func decodeNames(records []usageRecord, data []byte) (rest []byte) {
+// them. If any record has no valid entry, ok is false, and it sets no name.
+func decodeNames(records []usageRecord, data []byte) (rest []byte, ok bool) {
 	names := make([]nameCode, 0, len(records))
 	rest = data
 	for _, record := range records {
 		name, used := decodeName(rest, record.key)
 		if used == 0 {
-			return data
+			return data, false
 		}
 		names = append(names, name)
 		rest = rest[used:]
@@ -101,7 +113,7 @@
 	for i, name := range names {
 		records[i].name = name
 	}
-	return rest
+	return rest, true
 }
 
 // decodeName returns the name at the start of data, and the size of its entries. The size is 0 if data does
@@ -136,8 +148,9 @@
 	return name, 2 * updateSize
 }
 
-// isNameEntry reports whether the entry at the start of data is a part of a name, not a health update.
-func isNameEntry(data []byte) bool {
+// isIdentityEntry reports whether the entry at the start of data holds an incarnation or a part of a name,
+// and is not a health update.
+func isIdentityEntry(data []byte) bool {
 	entryType := data[updateClassOffset]
 	return entryType >= firstEntryByte && entryType <= lastEntryByte
 }
--- a/policy/message_names_test.go
+++ b/policy/message_names_test.go
@@ -15,12 +15,12 @@
 // them as they are.
 func TestNamesRoundTrip(t *testing.T) {
 	sent := message{
-		incarnation: 3, sequence: 700,
+		incarnation: 0x01020307, sequence: 700,
 		records: []usageRecord{namedRecord("0000000000000000"), namedRecord("00000001ffffffff"), namedRecord("a text"), {key: 7}},
 		updates: []healthUpdate{{endpointHash: 9, class: loadUpdate, value: 1, at: 50}},
 	}
 	got, err := testFormat.decode(testFormat.encode(sent, 50), 50)
-	if err != nil || !slices.Equal(got.records, sent.records) || !slices.Equal(got.updates, sent.updates) {
+	if err != nil || got.incarnation != sent.incarnation || !slices.Equal(got.records, sent.records) || !slices.Equal(got.updates, sent.updates) {
 		t.Errorf("got %+v and error %v, want %+v", got, err, sent)
 	}
 }
@@ -57,10 +57,10 @@
 // A gateway of an earlier version may forward an entry as a health update. It must not be taken for the name of a
 // customer, nor for an update.
 func TestForwardedEntriesAreIgnored(t *testing.T) {
-	for _, entryType := range []byte{lowNumberByte, highNumberByte, digestByte} {
+	for _, entryType := range []byte{incarnationByte, lowNumberByte, highNumberByte, digestByte} {
 		message := append(encodeRecord(1, usageRecord{key: 5}), 0, 0, entryType, 0, 9)
 		got, err := testFormat.decode(message, 100)
-		if err != nil || len(got.records) != 1 || got.records[0].name != unknownName || len(got.updates) != 0 {
+		if err != nil || len(got.records) != 1 || got.records[0].name != unknownName || got.incarnation != 1 || len(got.updates) != 0 {
 			t.Errorf("entry of type %d: got %+v and error %v, want one record without a name and no update", entryType, got, err)
 		}
 	}
--- a/policy/peer.go
+++ b/policy/peer.go
@@ -23,6 +23,9 @@
 	// maxBackoffLoad is the maximum load factor of a backoff. The load factor is the rate of received messages
 	// divided by the rate available to owner queries.
 	maxBackoffLoad = 3
+	// sequenceExpiry is the time without an accepted message after which a sequence number says nothing about
+	// the order of messages.
+	sequenceExpiry Seconds = 5
 )
 
 // peer is the state that this gateway keeps for another gateway.
@@ -31,8 +34,9 @@
 	unansweredReports int
 	lastUnansweredAt  Seconds // time of the last increase of unansweredReports
 	// incarnation and sequence identify the newest message accepted from the peer.
-	incarnation uint8
+	incarnation uint32
 	sequence    uint16
+	acceptedAt  Seconds // time of that message
 }
 
 // reachable reports whether the peer is expected to reply, or is due to be tried again.
@@ -40,14 +44,15 @@
 	return p.unansweredReports < maxUnansweredReports || now-p.lastUnansweredAt > unreachablePeriod
 }
 
-// acceptSequence records the sequence number of a received message. It returns false if the message is a
-// duplicate or was overtaken by a newer message of the same incarnation.
-func (p *peer) acceptSequence(incarnation uint8, sequence uint16) bool {
-	sameIncarnation := incarnation == p.incarnation && p.sequence != 0
-	if sameIncarnation && int16(sequence-p.sequence) <= 0 { // the signed difference handles a wraparound
+// acceptSequence records the sequence number of a message received at now. It returns false if the message
+// is a duplicate or was overtaken by a newer message of the same incarnation. After sequenceExpiry it
+// accepts any number: all peers share the numbers of a sender, which may have wrapped around.
+func (p *peer) acceptSequence(incarnation uint32, sequence uint16, now Seconds) bool {
+	ordered := incarnation == p.incarnation && p.sequence != 0 && now-p.acceptedAt < sequenceExpiry
+	if ordered && int16(sequence-p.sequence) <= 0 { // the signed difference handles a wraparound
 		return false
 	}
-	p.incarnation, p.sequence = incarnation, sequence
+	p.incarnation, p.sequence, p.acceptedAt = incarnation, sequence, now
 	return true
 }
 
@@ -58,7 +63,7 @@
 	self        int
 	messageRate float64 // messages per second that a gateway can receive
 	format      messageFormat
-	incarnation uint8
+	incarnation uint32
 	sequence    uint16 // of the last message that was created
 	// receivedRate is the exponentially decaying average of messages received per second, as of receivedAt.
 	receivedRate float64
@@ -71,7 +76,7 @@
 // newPeerProtocol returns the protocol of a gateway. The incarnation distinguishes this run of the gateway
 // from earlier ones.
 func newPeerProtocol(
-	s Settings, clock *eventClock, incarnation uint8,
+	s Settings, clock *eventClock, incarnation uint32,
 	gossip *gossipBuffer, sendToPeer func(gateway int, data []byte),
 ) peerProtocol {
 	return peerProtocol{
@@ -108,7 +113,7 @@
 		return message{}, false
 	}
 	sender := &p.peers[from]
-	if !sender.acceptSequence(received.incarnation, received.sequence) {
+	if !sender.acceptSequence(received.incarnation, received.sequence, now) {
 		return message{}, false
 	}
 	sender.unansweredReports = 0
--- a/policy/request.go
+++ b/policy/request.go
@@ -82,6 +82,6 @@
 	return t.arrived
 }
 
-// RequestMemory is an upper bound on the mean number of bytes that the state of an open request takes, without its
-// attempts.
+// RequestMemory is an upper bound on the mean number of bytes that the state of an open request takes,
+// without its attempts.
 const RequestMemory = 384
