Count the dedup groups of all processes that may have got an attempt

Cause: the decision module knew entries of the list, not addresses, and took the entry for the process. Evidence: without addresses two attempts in the three orders in which the new process may have got the first, one with them.

Change: attempts remember their address and the groups of other processes at it that had started by then, or at an unknown time. Retries and hedged requests need an endpoint that shares all of these groups.

--- a/internal/proxy/endpoint_updates.go
+++ b/internal/proxy/endpoint_updates.go
@@ -59,7 +59,7 @@
 	for _, e := range list.Endpoints {
 		endpoints = append(endpoints, policy.Endpoint{
 			ID: e.ID, Zone: e.Zone, Cell: e.Cell, State: e.EndpointState(),
-			Weight: e.Weight, StartedAt: p.startTimes.EventTime(e.ID, e.StartedMS),
+			Address: e.Addr, Weight: e.Weight, StartedAt: p.startTimes.EventTime(e.ID, e.StartedMS),
 		})
 	}
 	p.endpoints.apply(list)
--- a/policy/api.go
+++ b/policy/api.go
@@ -188,7 +188,10 @@
 	ID, Zone string
 	Cell     int
 	State    EndpointState
-	Weight   float64 // in the endpoint list; not used by this package
+	// Address is where the endpoint is reached, or empty if that is not known. A process may take over the
+	// address of another one that has ended, with another ID.
+	Address string
+	Weight  float64 // in the endpoint list; not used by this package
 	// StartedAt is the time at which the endpoint's process started. It changes when the process restarts. 0
 	// means that the time is unknown; the endpoint then counts as warm.
 	StartedAt Seconds
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -7,10 +7,13 @@
 type attempt struct {
 	endpoint        *endpoint
 	group           dedupGroup // of the endpoint at sentAt; the endpoint may move later
+	address         string     // of the endpoint at sentAt
 	sentAt          Seconds
 	done            bool
-	cancelled       bool // whether this gateway has requested its cancellation
-	noReplyRecorded bool // set by attemptWatcher.recordNoReply
+	mayHaveExecuted bool         // set when the attempt ends
+	otherGroups     []dedupGroup // of other processes that may have received the attempt at address
+	cancelled       bool         // whether this gateway has requested its cancellation
+	noReplyRecorded bool         // set by attemptWatcher.recordNoReply
 }
 
 // replied reports whether the attempt ended with a reply from the endpoint.
@@ -29,6 +32,7 @@
 	requests     *requestTable
 	limiter      *concurrencyLimiter
 	slowStart    *slowStart
+	endpoints    *endpointTable
 	idleTimeout  Seconds // time after which endpoints close idle connections
 	cancellation bool    // whether attempts can be cancelled
 	// adjustInFlight adds change to the number of attempts in flight of the request's customer.
@@ -51,7 +55,9 @@
 	s.limiter.startAttempt()
 	r.inFlight++
 	s.adjustInFlight(r, 1)
-	r.attempts = append(r.attempts, attempt{endpoint: e, group: e.dedupGroup(), sentAt: s.clock.now})
+	a := attempt{endpoint: e, group: e.dedupGroup(), address: e.Address, sentAt: s.clock.now}
+	a.recordOther(s.endpoints.latestAt(e.Address))
+	r.attempts = append(r.attempts, a)
 }
 
 // end marks the attempt of an outcome as ended, and returns it with its request. It returns nil, nil if no
@@ -106,7 +112,8 @@
 // recordStatus records whether an attempt may have been written and whether it may have executed.
 func (r *request) recordStatus(a *attempt, status AttemptStatus) {
 	r.written = r.written || status.written()
-	if status.mayHaveExecuted() {
+	a.mayHaveExecuted = status.mayHaveExecuted()
+	if a.mayHaveExecuted {
 		r.recordPossibleExecution(a)
 	}
 }
--- a/policy/endpoint_table.go
+++ b/policy/endpoint_table.go
@@ -17,6 +17,8 @@
 	byID   map[string]*endpoint
 	listed []*endpoint          // endpoints with listed set, ordered by ID
 	byHash map[uint16]*endpoint // nil value if several endpoints share the hash
+	// byAddress holds the endpoint that was listed at an address last.
+	byAddress map[string]*endpoint
 }
 
 func newEndpointTable(classCount int, initialCredit func(hash uint16) float64) *endpointTable {
@@ -25,19 +27,22 @@
 		initialCredit: initialCredit,
 		byID:          map[string]*endpoint{},
 		byHash:        map[uint16]*endpoint{},
+		byAddress:     map[string]*endpoint{},
 	}
 }
 
 // apply updates the endpoint list: it replaces the list if complete is set, and otherwise updates the given
-// entries.
-func (t *endpointTable) apply(list []Endpoint, complete bool) {
+// entries. It returns the endpoints that are new or have moved to another address.
+func (t *endpointTable) apply(list []Endpoint, complete bool) (arrived []*endpoint) {
 	if complete {
 		for _, e := range t.listed {
 			e.listed = false
 		}
 	}
 	for _, entry := range list {
-		t.applyEntry(entry)
+		if e, hasArrived := t.applyEntry(entry); hasArrived {
+			arrived = append(arrived, e)
+		}
 	}
 	t.listed = t.listed[:0]
 	for _, e := range t.byID {
@@ -46,10 +51,13 @@
 		}
 	}
 	slices.SortFunc(t.listed, func(a, b *endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return arrived
 }
 
-func (t *endpointTable) applyEntry(entry Endpoint) {
-	e := t.byID[entry.ID]
+// applyEntry updates an endpoint, and reports whether it is new or has moved to another address.
+func (t *endpointTable) applyEntry(entry Endpoint) (e *endpoint, arrived bool) {
+	e = t.byID[entry.ID]
+	arrived = e == nil || e.Address != entry.Address
 	if e == nil {
 		hash := uint16(hashName(entry.ID))
 		e = newEndpoint(hash, t.classCount, t.initialCredit(hash))
@@ -58,7 +66,29 @@
 	} else if entry.StartedAt != e.StartedAt && entry.StartedAt > 0 {
 		e.restart(t.initialCredit(e.hash))
 	}
+	if e.Address != entry.Address {
+		t.leaveAddress(e)
+	}
 	e.Endpoint, e.listed = entry, entry.State != Removed
+	if latest := t.byAddress[e.Address]; latest == nil || latest.StartedAt <= e.StartedAt {
+		t.byAddress[e.Address] = e
+	}
+	return e, arrived
+}
+
+// leaveAddress removes an endpoint from byAddress.
+func (t *endpointTable) leaveAddress(e *endpoint) {
+	if t.byAddress[e.Address] == e {
+		delete(t.byAddress, e.Address)
+	}
+}
+
+// latestAt returns the endpoint that was listed at an address last, or nil if the address is not known.
+func (t *endpointTable) latestAt(address string) *endpoint {
+	if address == "" {
+		return nil
+	}
+	return t.byAddress[address]
 }
 
 // evictRemoved deletes the endpoints that are no longer listed and have no attempts in flight.
@@ -67,6 +97,7 @@
 	for id, e := range t.byID {
 		if !e.listed && e.inFlight == 0 {
 			delete(t.byID, id)
+			t.leaveAddress(e)
 		}
 	}
 	if len(t.byID) == before {
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -133,6 +133,7 @@
 	g.requests = newRequestTable()
 	g.sender = &attemptSender{
 		clock: g.clock, actions: g.actions, requests: g.requests, limiter: g.limiter, slowStart: g.slowStart,
+		endpoints:   g.endpoints,
 		idleTimeout: settings.ConnectionIdleTimeout, cancellation: settings.Cancellation,
 		adjustInFlight: g.quota.adjustInFlight,
 	}
@@ -231,7 +232,9 @@
 func (g *Gateway) HandleEndpoints(now Seconds, list []Endpoint, complete bool) {
 	g.clock.advance(now)
 	before := len(g.endpoints.listed)
-	g.endpoints.apply(list, complete)
+	for _, e := range g.endpoints.apply(list, complete) {
+		g.requests.recordOther(e)
+	}
 	after := len(g.endpoints.listed)
 	g.slowStart.updateEstimates(g.classes.ordered, g.endpoints.listed)
 	g.limiter.resize(before, after)
--- a/policy/idempotency.go
+++ b/policy/idempotency.go
@@ -1,5 +1,7 @@
 package policy
 
+import "slices"
+
 // dedupGroup is the zone and cell of an endpoint. Together with a DedupScope, they determine which endpoints
 // drop each other's duplicates.
 type dedupGroup struct {
@@ -17,7 +19,6 @@
 // possibleExecution describes an attempt that may have executed. The zero value means that there is none.
 type possibleExecution struct {
 	endpoint *endpoint
-	group    dedupGroup // of the endpoint at sentAt; the endpoint may move later
 	sentAt   Seconds
 }
 
@@ -28,24 +29,64 @@
 // if one is recorded already.
 func (r *request) recordPossibleExecution(a *attempt) {
 	if !r.mayHaveExecuted() {
-		r.firstExecution = possibleExecution{endpoint: a.endpoint, group: a.group, sentAt: a.sentAt}
+		r.firstExecution = possibleExecution{endpoint: a.endpoint, sentAt: a.sentAt}
 	}
 }
 
-// deduplicates reports whether the endpoint would drop the request as a duplicate of its first execution. It
-// also returns true if no execution is recorded, or if the class has no idempotency keys: mayBeRetriedAt
-// decides whether a request of such a class is retried.
+// deduplicates reports whether the endpoint would drop the request as a duplicate of each attempt that may have
+// executed. It also returns true if no execution is recorded, or if the class has no idempotency keys:
+// mayBeRetriedAt decides whether a request of such a class is retried.
 //
-// An endpoint list update may move the endpoint of the first execution to another group. It is unknown
-// whether the keys recorded there move along, so the endpoint must share both the old group and the current
-// one.
+// An endpoint list update may move the endpoint of an attempt to another group. It is unknown whether the keys
+// recorded there move along, so the endpoint must share both the old group and the current one. The update may
+// also tell that another process has taken over the address. It is unknown which of the two has executed the
+// attempt, so the endpoint must share the group of both.
 func (r *request) deduplicates(e *endpoint) bool {
 	if !r.mayHaveExecuted() || r.class.Idempotency != IdempotencyKey {
 		return true
 	}
-	scope, group := r.class.DedupScope, e.dedupGroup()
-	return sameDedupGroup(scope, r.firstExecution.group, group) &&
-		sameDedupGroup(scope, r.firstExecution.endpoint.dedupGroup(), group)
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if (a.mayHaveExecuted || !a.done) && !a.isDeduplicatedBy(e, r.class.DedupScope) {
+			return false
+		}
+	}
+	return true
+}
+
+// isDeduplicatedBy reports whether an endpoint would drop a duplicate of the attempt.
+func (a *attempt) isDeduplicatedBy(e *endpoint, scope DedupScope) bool {
+	group := e.dedupGroup()
+	if !sameDedupGroup(scope, a.group, group) || !sameDedupGroup(scope, a.endpoint.dedupGroup(), group) {
+		return false
+	}
+	return !slices.ContainsFunc(a.otherGroups, func(other dedupGroup) bool {
+		return !sameDedupGroup(scope, other, group)
+	})
+}
+
+// recordOther records the group of an endpoint, which may be nil, if it is another process that may have
+// received the attempt: one at the same address that had started when the attempt was sent.
+func (a *attempt) recordOther(e *endpoint) {
+	if e == nil || e == a.endpoint || e.Address != a.address || e.StartedAt > a.sentAt+clockUncertainty {
+		return
+	}
+	if group := e.dedupGroup(); !slices.Contains(a.otherGroups, group) {
+		a.otherGroups = append(a.otherGroups, group)
+	}
+}
+
+// recordOther records an endpoint that is new, or has moved to another address, for the attempts of all open
+// requests; see attempt.recordOther.
+func (t *requestTable) recordOther(e *endpoint) {
+	if e.Address == "" {
+		return
+	}
+	for _, r := range t.byID {
+		for i := range r.attempts {
+			r.attempts[i].recordOther(e)
+		}
+	}
 }
 
 // idempotencyWindowEnd returns the time until which endpoints drop duplicates of the first execution, less
--- a/policy/idempotency_test.go
+++ b/policy/idempotency_test.go
@@ -345,3 +345,41 @@
 		})
 	}
 }
+
+// TestNoRetryOutsideTheGroupOfTheProcessAtAnAddress guards against a second execution after another process, of another
+// dedup group, has taken over the address of an endpoint, and may have received an attempt that was meant for that one.
+func TestNoRetryOutsideTheGroupOfTheProcessAtAnAddress(t *testing.T) {
+	for name, tc := range map[string]struct {
+		startedAt Seconds // of the process that takes over
+		cell      int
+		before    bool // it is listed before the attempt is sent
+		want      int  // attempts
+	}{
+		"started before the attempt":         {startedAt: 99, cell: 2, want: 1},
+		"started at an unknown time":         {cell: 2, want: 1},
+		"listed before the attempt":          {startedAt: 99, cell: 2, before: true, want: 1},
+		"started after the attempt":          {startedAt: 100.2, cell: 2, want: 2},
+		"of the same group":                  {startedAt: 99, cell: 1, want: 2},
+		"of the same group, listed earlier ": {startedAt: 99, cell: 1, before: true, want: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, recorded := newTestGateway(t, withSingleGateway)
+			g.HandleEndpoints(100, []Endpoint{{ID: "s1", Zone: "a", Cell: 1, Address: "x"}}, true)
+			takeOver := func(now Seconds) {
+				g.HandleEndpoints(now, []Endpoint{{ID: "new", Zone: "a", Cell: tc.cell, Address: "x", StartedAt: tc.startedAt, State: Draining}}, false)
+			}
+			if tc.before {
+				takeOver(100)
+			}
+			sendRequest(g, 100, "k", "cell", "wide", 1)
+			if !tc.before {
+				takeOver(100.3)
+			}
+			g.HandleEndpoints(100.3, []Endpoint{{ID: "other", Zone: "a", Cell: 1, Address: "y"}}, false)
+			g.HandleOutcome(100.3, Outcome{RequestID: "k", Attempt: 0, Status: Reset})
+			if sends := recorded.ofKind("send", "k"); len(sends) != tc.want {
+				t.Errorf("%d attempts were sent, want %d", len(sends), tc.want)
+			}
+		})
+	}
+}
