--- a/policy/idempotency.go
+++ b/policy/idempotency.go
@@ -33,14 +33,14 @@
 	}
 }
 
-// deduplicates reports whether the endpoint would drop the request as a duplicate of each attempt that may have
-// executed. It also returns true if no execution is recorded, or if the class has no idempotency keys:
+// deduplicates reports whether the endpoint would drop the request as a duplicate of each attempt that may
+// have executed. It also returns true if no execution is recorded, or if the class has no idempotency keys:
 // mayBeRetriedAt decides whether a request of such a class is retried.
 //
-// An endpoint list update may move the endpoint of an attempt to another group. It is unknown whether the keys
-// recorded there move along, so the endpoint must share both the old group and the current one. The update may
-// also tell that another process has taken over the address. It is unknown which of the two has executed the
-// attempt, so the endpoint must share the group of both.
+// An endpoint list update may move the endpoint of an attempt to another group. It is unknown whether the
+// keys recorded there move along, so the endpoint must share both the old group and the current one. The
+// update may also tell that another process has taken over the address. It is unknown which of the two has
+// executed the attempt, so the endpoint must share the group of both.
 func (r *request) deduplicates(e *endpoint) bool {
 	if !r.mayHaveExecuted() || r.class.Idempotency != IdempotencyKey {
 		return true
