Count a wait in the backlog against the first command only if it was one

Seen: TestStoppedClientGetsItsErrorInTime failed once, 'the error came after 296.7ms, want 300ms', in a run of the package.

The command timeout began when the connection was established, a few milliseconds before the accept, and the kernel counts that in ticks.

Change: less than StallThreshold does not count.

--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -95,12 +95,16 @@
 	})
 }
 
-// firstCommandTimeout returns the time that is left for the first command. The command timeout counts from when the
-// connection was established, but what came while it was not accepted must be read.
+// firstCommandTimeout returns the time that is left for the first command. If the connection has waited to be accepted,
+// the command timeout counts from when it was established, but what came meanwhile must be read. The kernel's time of
+// that is less precise than the clock, so a wait that may be none does not count.
 func (r *clientReader) firstCommandTimeout() time.Duration {
 	timeout := r.client.set.commandTimeout
-	waited := eventloop.Duration(r.services.clock.Now() - r.connectedAt)
-	return max(timeout-waited, min(timeout, eventloop.Duration(inputStallTimeout)))
+	waited := r.services.clock.Now() - r.connectedAt
+	if waited < eventloop.StallThreshold {
+		return timeout
+	}
+	return max(timeout-eventloop.Duration(waited), min(timeout, eventloop.Duration(inputStallTimeout)))
 }
 
 // setDeadline sets the read deadline. If the event loop has requested a pause, the deadline that interrupts the reader
