Remember the ids of requests that may have executed

Cause: both tables know open requests only. Evidence: in the decision module alone, the id again 0.1 s after the end makes a second attempt, after ok and after reset.

Change: policy/executed_requests.go remembers what has ended and may have executed, for the longest timeout or idempotency window, within 0.02 of the memory; a request with such an id is failed.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,9 +34,12 @@
 	replyMemoryShare = 0.1
 	// customerMemoryShare is the share of the process memory that the state of customers may use.
 	customerMemoryShare = 0.15
-	defaultMemoryMB     = 192  // used if the configuration sets none
-	minCustomers        = 1024 // lower bound of the number of customers, for a process with little memory
-	sweepInterval       = time.Second
+	// executedRequestShare is the share of the process memory that the IDs of requests that may have executed may use.
+	executedRequestShare = 0.02
+	defaultMemoryMB      = 192 // used if the configuration sets none
+	minExecutedRequests  = 1024
+	minCustomers         = 1024 // lower bound of the number of customers, for a process with little memory
+	sweepInterval        = time.Second
 	// readyTimeout is the time from the start until the gateway reports that it is ready even without an endpoint in
 	// service. Nine in ten gateways have to be ready within 10 s.
 	readyTimeout = 2 * time.Second
@@ -97,12 +100,15 @@
 	return int64(cmp.Or(cfg.MemoryMB, defaultMemoryMB)) << 20
 }
 
-// moduleSettings returns the settings of the decision module, with the number of customers that fit into
-// customerMemoryShare, and a random StartID: the configuration may hold the seed of an earlier start.
+// moduleSettings returns the settings of the decision module, with the numbers of customers and of executed
+// requests that fit into their shares of the memory, and a random StartID: the configuration may hold the seed of an earlier start.
 func moduleSettings(cfg config.Config) policy.Settings {
 	s := cfg.Settings.Settings
 	s.StartID = rand.Uint32()
 	s.MaxCustomers = max(minCustomers, int(float64(processMemory(cfg))*customerMemoryShare)/policy.CustomerMemory)
+	s.MaxExecutedRequests = max(
+		minExecutedRequests, int(float64(processMemory(cfg))*executedRequestShare)/policy.ExecutedRequestMemory,
+	)
 	return s
 }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -116,6 +116,10 @@
 	Classes            []Class
 	Plans              []Plan
 
+	// MaxExecutedRequests is the number of requests that are remembered because they may have executed and must
+	// not execute again; 0 means no limit. See ExecutedRequestMemory.
+	MaxExecutedRequests int
+
 	// StartID distinguishes this start of the gateway from earlier ones with the same seed.
 	StartID uint32
 
@@ -285,7 +289,7 @@
 type Reason string
 
 // Reasons for rejecting a request, or for failing it if the client may not safely send it again. UnknownClass
-// always fails the request.
+// and RepeatedID always fail the request.
 const (
 	QuotaExceeded           Reason = "quota_exceeded"            // a limit of the customer's plan is reached
 	ConcurrencyLimitReached Reason = "concurrency_limit_reached" // queued for a concurrency slot but got none
@@ -295,6 +299,7 @@
 	TooManyCustomers        Reason = "too_many_customers"        // a new customer, and no room for it
 	OwnerUnreachable        Reason = "owner_unreachable"         // no grant from the owner arrived in time
 	UnknownClass            Reason = "unknown_class"
+	RepeatedID              Reason = "repeated_id" // a request with this ID may have executed
 )
 
 // Broadcast as the gateway argument of SendToPeer addresses all other gateways.
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -130,7 +130,7 @@
 func (g *Gateway) initRequestSide() {
 	settings := g.settings
 	g.classes = newClassTable(settings.Classes)
-	g.requests = newRequestTable()
+	g.requests = newRequestTable(newExecutedRequests(settings, g.clock))
 	g.sender = &attemptSender{
 		clock: g.clock, actions: g.actions, requests: g.requests, limiter: g.limiter, slowStart: g.slowStart,
 		endpoints:   g.endpoints,
@@ -159,8 +159,9 @@
 // CustomerCount returns the number of customers whose usage this gateway keeps.
 func (g *Gateway) CustomerCount() int { return g.quota.customers.count }
 
-// HandleRequest admits, queues or rejects a client's request. It fails a request of an unknown class, and
-// ignores a request with the ID of an open one.
+// HandleRequest admits, queues or rejects a client's request. It fails a request of an unknown class, and one
+// whose ID is that of a request that may have executed and must not execute again. It ignores a request with
+// the ID of an open one.
 func (g *Gateway) HandleRequest(now Seconds, incoming Request) {
 	g.clock.advance(now)
 	if g.requests.find(incoming.ID) != nil {
@@ -171,6 +172,10 @@
 		g.actions.Fail(incoming.ID, UnknownClass)
 		return
 	}
+	if requestClass.Idempotency != Idempotent && g.requests.executed.contains(incoming.ID) {
+		g.actions.Fail(incoming.ID, RepeatedID)
+		return
+	}
 	g.healthChecks.accrueCredit()
 	g.admitter.handle(incoming, requestClass)
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -56,13 +56,16 @@
 
 // requestTable holds the requests that have not ended.
 type requestTable struct {
-	byID map[string]*request
+	byID     map[string]*request
+	executed *executedRequests
 	// arrived holds the requests in order of arrival. It keeps requests that have ended until the next call of
 	// open.
 	arrived []*request
 }
 
-func newRequestTable() *requestTable { return &requestTable{byID: map[string]*request{}} }
+func newRequestTable(executed *executedRequests) *requestTable {
+	return &requestTable{byID: map[string]*request{}, executed: executed}
+}
 
 // find returns the request with the ID, or nil if there is none.
 func (t *requestTable) find(id string) *request { return t.byID[id] }
@@ -73,8 +76,11 @@
 	t.arrived = append(t.arrived, r)
 }
 
-// remove deletes a request that has ended from byID.
-func (t *requestTable) remove(r *request) { delete(t.byID, r.ID) }
+// remove deletes a request that has ended from byID. It is remembered if it must not execute again.
+func (t *requestTable) remove(r *request) {
+	delete(t.byID, r.ID)
+	t.executed.record(r)
+}
 
 // open returns the requests that have not ended, in order of arrival.
 func (t *requestTable) open() []*request {
--- a/policy/request_test.go
+++ b/policy/request_test.go
@@ -28,7 +28,7 @@
 }
 
 func TestRequestTableDropsEndedRequests(t *testing.T) {
-	table := newRequestTable()
+	table := newRequestTable(newExecutedRequests(testSettings(), &eventClock{}))
 	requests := map[string]*request{}
 	for _, id := range []string{"a", "b", "c", "d"} {
 		requests[id] = &request{Request: Request{ID: id}}
