Have client readers let others run after each 32 commands

Cause: with one processor, a reader with commands in its buffer and the event loop wake each other, and the scheduler lets them run for a whole time slice.

Change: clientReader.yield.

--- a/internal/proxy/client_reader.go
+++ b/internal/proxy/client_reader.go
@@ -28,6 +28,8 @@
 	// maxKeptInput is the number of handled bytes that the buffer may hold while later commands wait for a permit, if these
 	// are fewer.
 	maxKeptInput = 64 << 10
+	// commandsPerTurn is the number of commands after which a reader lets other goroutines run.
+	commandsPerTurn = 32
 	// typicalArguments is the number of arguments that a command can have before handleCommands needs a larger slice.
 	typicalArguments = 8
 )
@@ -68,6 +70,7 @@
 	ahead          readAheadState
 	connectedAt    policy.Seconds // when the connection was established, which is before it was accepted
 	badCommands    int
+	handled        int       // commands handled; see yield
 	deadlineActive bool      // the client must complete a command by deadline
 	deadline       time.Time // zero if there is none
 }
@@ -255,6 +258,7 @@
 			return 0, some, false
 		}
 		some = true
+		r.yield()
 		if used += size; used >= maxKeptInput && 2*used >= r.buffer.Len() {
 			r.discard(used)
 			used = 0
@@ -263,6 +267,15 @@
 	return used, some, true
 }
 
+// yield lets other goroutines run after commandsPerTurn commands. Otherwise a client that sends without pause could keep
+// the processor for a whole time slice of the scheduler whenever it is its turn, and each step of the requests of others
+// would wait for that.
+func (r *clientReader) yield() {
+	if r.handled++; r.handled%commandsPerTurn == 0 {
+		r.services.yield()
+	}
+}
+
 // handleNext handles the complete command of the given size that stands at an offset of the buffer. It reports whether to
 // continue.
 func (r *clientReader) handleNext(at policy.Seconds, offset, size int, args [][]byte) (more bool) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"time"
 
 	"reedlead/internal/config"
@@ -115,7 +116,7 @@
 // open creates a proxy and its sockets. Nothing is read from them yet.
 func open(ctx context.Context, cfg config.Config, log *slog.Logger, calls *netcalls.Calls) (*Proxy, error) {
 	p := &Proxy{
-		services:  services{log: log, calls: calls, clock: eventloop.NewClock()},
+		services:  services{log: log, calls: calls, clock: eventloop.NewClock(), yield: runtime.Gosched},
 		cfg:       cfg,
 		wallClock: func() policy.Seconds { return eventloop.UnixSeconds(time.Now()) },
 		discovery: discovery.DefaultOptions(cfg.Settings.DrainGrace),
--- a/internal/proxy/services.go
+++ b/internal/proxy/services.go
@@ -28,6 +28,8 @@
 	log   *slog.Logger
 	calls *netcalls.Calls
 	clock eventloop.Clock
+	// yield lets other goroutines run. It is runtime.Gosched, except in tests.
+	yield func()
 	loop  *eventloop.Loop
 	// inputBudget limits the memory for buffered input, for the arguments of open requests and for unwritten replies.
 	inputBudget *readbuf.Budget
