Accept an incarnation in a peer message only beside names; fuzz the decoder

FuzzDecodeMessage, new, found that a message without records was accepted with the incarnation of an entry alone, which a gateway of an earlier version may have forwarded as a health update. Peers send no such message, so no harm was seen.

--- a/policy/message_names.go
+++ b/policy/message_names.go
@@ -90,7 +90,7 @@
 		return data
 	}
 	rest, ok := decodeNames(m.records, data[updateSize:])
-	if !ok {
+	if !ok || !hasNames(m.records) {
 		return data
 	}
 	m.incarnation = entryValue(data)
--- a/policy/message_names_test.go
+++ b/policy/message_names_test.go
@@ -65,3 +65,27 @@
 		}
 	}
 }
+
+// FuzzDecodeMessage checks that no datagram makes decode panic, and that the customers and the sender of a message are the
+// same after it is encoded and decoded once more. Other values are clamped to their ranges when they are encoded.
+func FuzzDecodeMessage(f *testing.F) {
+	f.Add(encodeRecord(1, usageRecord{key: 5}))
+	f.Add(encodeRecord(1, namedRecord(customerUnderCeiling)))
+	f.Add(encodeRecord(1, namedRecord("a text")))
+	f.Add([]byte{messageVersion, 1, 0, 1, 0, 0, 0, incarnationByte, 0, 9}) // an incarnation without records
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := testFormat.decode(data, 100)
+		if err != nil {
+			return
+		}
+		second, err := testFormat.decode(testFormat.encode(first, 100), 100)
+		if err != nil || second.incarnation != first.incarnation || len(second.records) != len(first.records) {
+			t.Fatalf("decoded as %+v, and once more as %+v with error %v", first, second, err)
+		}
+		for i, record := range first.records {
+			if again := second.records[i]; again.key != record.key || again.name != record.name || again.planIndex != record.planIndex {
+				t.Errorf("record %+v was decoded once more as %+v", record, again)
+			}
+		}
+	})
+}
