--- a/internal/proxy/address_takeover_test.go
+++ b/internal/proxy/address_takeover_test.go
@@ -1,41 +1,13 @@
 package proxy
 
 import (
-	"context"
-	"log/slog"
 	"testing"
 	"time"
 
-	"reedlead/internal/config"
 	"reedlead/internal/discovery"
-	"reedlead/internal/netcalls"
 	"reedlead/policy"
 )
 
-// startWithDecisionModule starts a proxy with the real decision module, which ends with the test.
-func startWithDecisionModule(t *testing.T, cfg config.Config) *Proxy {
-	t.Helper()
-	p, err := open(context.Background(), cfg, slog.New(slog.DiscardHandler), netcalls.System())
-	if err != nil {
-		t.Fatal(err)
-	}
-	gateway, err := policy.New(moduleSettings(cfg), 1, p.loop.Now(), p)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		p.serve(ctx, nil, gateway)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	return p
-}
-
 // TestNoRetryInTheGroupOfAProcessThatHasGone guards against a request that is executed twice: a new process has taken over
 // the address of an endpoint before the request was sent there, and belongs to another dedup group, but the endpoint list
 // tells that later.
--- a/internal/proxy/pipelining_benchmark_test.go
+++ b/internal/proxy/pipelining_benchmark_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"reedlead/internal/config"
 	"reedlead/internal/netcalls"
 	"reedlead/policy"
 
@@ -43,33 +44,44 @@
 	}
 }
 
-// startPipeliningProxy starts a proxy with the decision module and an endpoint that replies at once, which end with the
-// benchmark. It returns the address of the proxy.
+// startPipeliningProxy starts a proxy with an endpoint that replies at once, which end with the benchmark. It returns the
+// address of the proxy.
 func startPipeliningProxy(b *testing.B) string {
 	b.Helper()
 	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
+	b.Cleanup(func() { _ = endpoint.Close() })
 	go serveValues(endpoint)
 	cfg := testConfig(endpoint.Addr().String())
 	cfg.MemoryMB = 192
 	cfg.Settings.Plans[0].Rate, cfg.Settings.Plans[0].Burst = 1e9, 1e9
-	p, err := open(context.Background(), cfg, slog.New(slog.NewTextHandler(io.Discard, nil)), netcalls.System())
+	return startWithDecisionModule(b, cfg).listener.Addr().String()
+}
+
+// startWithDecisionModule starts a proxy with the real decision module, which ends with the test.
+func startWithDecisionModule(t testing.TB, cfg config.Config) *Proxy {
+	t.Helper()
+	p, err := open(context.Background(), cfg, slog.New(slog.DiscardHandler), netcalls.System())
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	gateway, err := policy.New(moduleSettings(cfg), 1, p.loop.Now(), p)
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	go p.serve(ctx, nil, gateway)
-	b.Cleanup(func() {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		p.serve(ctx, nil, gateway)
+	}()
+	t.Cleanup(func() {
 		cancel()
-		_ = endpoint.Close()
+		<-ended
 	})
-	return p.listener.Addr().String()
+	return p
 }
 
 // serveValues replies to each command on the connections of a listener with a value, until it is closed.
