Let stopped clients be evicted after a drain could not close them

The exclusion is for connections whose eviction has failed, so that none is asked twice; it was also set for other close requests.

TestStoppedClientIsEvictableInADrain fails before, and passes three times with the race detector.

--- a/internal/proxy/client_conn.go
+++ b/internal/proxy/client_conn.go
@@ -130,7 +130,7 @@
 	c.closeRequested = false
 	c.set.closing--
 	c.set.refusedCloses++
-	if !c.usedSinceCloseRequest {
+	if c.closeReason == evicted && !c.usedSinceCloseRequest {
 		c.keepUntilNextInput()
 	}
 	c.pauseRequested.Store(false)
--- a/internal/proxy/client_eviction_test.go
+++ b/internal/proxy/client_eviction_test.go
@@ -107,3 +107,24 @@
 	}
 	silent.wantLines("")
 }
+
+// TestStoppedClientIsEvictableInADrain guards against a client that has stopped within a command keeping its slot from new
+// connections, because it could not be closed as an idle one at the begin of a drain.
+func TestStoppedClientIsEvictableInADrain(t *testing.T) {
+	h := startWithFewSlots(t)
+	c := h.client()
+	c.write(partialCommand("half"))
+	h.eventually("a part of a command is read", func() bool { return h.onlyClient() != nil && h.onlyClient().partialCommand.Load() })
+	var conn *clientConn
+	h.onLoop(func() {
+		conn = h.onlyClient()
+		conn.requestClose(draining)
+	})
+	h.eventually("the connection stays open", func() bool { return !conn.closeRequested })
+	h.onLoop(func() {
+		h.proxy.clients.inputStallTimeout = 0
+		if rank := conn.evictionRank(h.proxy.clock.Now() + 1); rank != rankStopped {
+			t.Errorf("the rank of the connection is %v, want %v", rank, rankStopped)
+		}
+	})
+}
