Have two tests of slow clients fill the buffers of both sockets

Cause: they wait until the gateway's socket is full, and had it send 4,260,000 bytes, the largest send buffer and less than 100 KB. A probe without the gateway shows that the two sockets of a connection hold 4,274,976 bytes on this machine now; why fewer before is not known. The receive buffer of the client was not counted.

Change: 2 MiB for it. The checks and their bounds stay as they are; more replies must come whole.

--- a/cmd/reedlead/slow_client_test.go
+++ b/cmd/reedlead/slow_client_test.go
@@ -13,6 +13,8 @@
 const (
 	slowValueSize  = 60_000 // bytes
 	slowDeadlineMS = 15_000
+	// receiveBuffer is more than the receive buffer of a client's socket holds while the client reads nothing.
+	receiveBuffer = 2 << 20
 	// readPause is longer than 5 s, the write timeout after which an earlier version closed connections of slow clients.
 	readPause = 5500 * time.Millisecond
 )
@@ -61,7 +63,7 @@
 // deadline expired after 5 s, and the gateway closed the connection without a reply to the next request.
 func TestWriteDeadlineDoesNotOutliveItsWrite(t *testing.T) {
 	t.Parallel()
-	replies := (sendBufferMax(t) + 100_000) / slowValueSize // more than the send buffer of the gateway's socket holds
+	replies := (sendBufferMax(t) + receiveBuffer) / slowValueSize // more than the buffers of both sockets hold
 	conn, r := startSlowClient(t, replies)
 	expectValues(t, r, "after the socket was full", replies)
 	for from, i := time.Now(), replies; time.Since(from) < readPause+time.Second; i++ {
@@ -75,7 +77,7 @@
 // when the client reads nothing for readPause.
 func TestClientPausingWithinReplyGetsWholeReply(t *testing.T) {
 	t.Parallel()
-	replies := (sendBufferMax(t) + 100_000) / slowValueSize
+	replies := (sendBufferMax(t) + receiveBuffer) / slowValueSize
 	_, r := startSlowClient(t, replies)
 	time.Sleep(readPause)
 	expectValues(t, r, "after a pause", replies)
